After SIGTERM, serve open connections while no other dispatcher is heard

The log has n1 told to stop at 13.18 s, back at 17.88; n0 told to stop at 16.18: clients parted with by n0 found nobody. Ruled out: refusals of ours (0 refused), workers (3 errors, none full), discovery (moved within the same tick). At fault: net/frontend.py drain() closed every idle connection 0.45 s after the signal, whoever else was there.

Now a stopping dispatcher sends no more reports, and one that hears nobody goes on serving the connections it holds until somebody is heard, at most 2.5 s. What it takes then is answered 0.2 s before it may be killed, so nothing is lost. With another dispatcher about, everything is as before.

Test: test_after_sigterm_clients_are_served_while_no_other_dispatcher_is_heard; fails without the change.

--- a/beaconhinge/__main__.py
+++ b/beaconhinge/__main__.py
@@ -36,9 +36,10 @@
     budget = Budget(config.limits.sockets)
     workers = Workers(config, core, wheel, budget, stats)
     discovery = Discovery(config, core, workers, wheel, stats)
-    peers = Peers(config, core, stats)
+    peers = Peers(config, core, wheel, stats)
     requests = Requests(core, workers, wheel, stats, config.settings)
-    frontend = Frontend(config, requests, workers.news, lambda: bool(workers.workers), wheel, budget, stats)
+    frontend = Frontend(config, requests, workers.news, lambda: bool(workers.workers), peers.others, wheel,
+                        budget, stats)
 
     def reload() -> None:
         """Read the whole configuration again; nothing of a faulty one counts. Requests in work go on."""
@@ -67,6 +68,7 @@
 
     await stopping.wait()
     stats.log("stopping", owed=frontend.owing)
+    peers.leave()
     await frontend.drain()
     stats.report()
     stats.log("stopped")
--- a/beaconhinge/net/frontend.py
+++ b/beaconhinge/net/frontend.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import math
 import socket
 from collections.abc import Callable
 from urllib.parse import unquote
@@ -24,7 +25,11 @@
 IDLE_FOR = 1.0  # seconds without a request after which a client's connection may go when sockets are short
 FOR_WORKERS = 0.25  # part of the sockets that clients leave to connections to workers
 PART_AFTER = 0.45  # seconds after SIGTERM: clients keep coming for 0.4, then idle ones are closed
-REFUSE_AFTER = 0.6  # what came after 0.7 might be lost when the program is killed
+REFUSE_AFTER = 0.15  # seconds after that: what was on its way has come
+KILL_AFTER = 0.7  # seconds after SIGTERM, beside the longest deadline or LONGEST: then it may be killed
+LONGEST = 3.0
+ANSWER_BEFORE = 0.2  # seconds before that, by which whatever is taken after SIGTERM has its answer
+ALONE_BEFORE = 1.2  # seconds before that, when clients are parted with though nobody else was heard
 LOOK = 0.02
 UP, NEWS = "/up", "/_jobs/news"
 
@@ -44,15 +49,18 @@
 
 class Frontend:
     def __init__(self, config: Config, requests: Requests, news: Callable[[bytes], None],
-                 ready: Callable[[], bool], wheel: Wheel, budget: Budget, stats: Stats) -> None:
+                 ready: Callable[[], bool], others: Callable[[], bool], wheel: Wheel, budget: Budget,
+                 stats: Stats) -> None:
         self.config = config
         self.requests = requests
         self.news = news
         self.ready = ready
+        self.others = others  # whether another dispatcher is there to turn to
         self.wheel = wheel
         self.budget = budget
         self.stats = stats
-        self.draining = self.refusing = False
+        self.draining = self.parting = self.refusing = False
+        self.answer_by = math.inf
         self.peers: dict[_Peer, None] = {}  # in the order of their last use
         self.classes = {name: i for i, name in enumerate(config.class_names)}
         self.tenants = {name: i for i, name in enumerate(config.tenant_names)}
@@ -159,7 +167,7 @@
                 self.news(message.body)
                 return response(204, close=not message.keep_alive), not message.keep_alive
         # An answer to HEAD has no body; ours have one, so the connection ends with it lest it be misread.
-        close = self.draining or not message.keep_alive or message.method == "HEAD"
+        close = self.parting or not message.keep_alive or message.method == "HEAD"
         if path == UP and message.method == "GET":
             up = self.ready() and not self.draining
             return response(200 if up else 503, b"up\n" if up else b"not ready\n", close=close), close
@@ -173,13 +181,13 @@
         except BadMessage as error:
             self.stats.complain("client_request_refused", status=error.status, why=error)
             return _problem(error.status, str(error), close), close
-        if self.refusing:
+        if self.refusing or job.remaining <= 0:
             return _written(Answer(REFUSED, retry_after=self.config.settings.max_retry_after), True), True
         if self.requests.full:
             self.stats.complain("requests_over_limit", held=len(self.requests.in_hand))
             return _written(Answer(REFUSED, retry_after=self.config.settings.max_retry_after), close), close
         answer = await self._answer(peer, self.requests.take(job))
-        close = self.draining or not message.keep_alive
+        close = self.parting or not message.keep_alive
         return _written(answer, close), close
 
     async def _answer(self, peer: _Peer, request: Request) -> Answer:
@@ -224,7 +232,9 @@
         if self.config.keyed(cls) and not key:
             raise BadMessage(400, "Idempotency-Key is missing, which jobs of this class carry")
         extras = _extras(headers.get("x-attrs", ""))
-        return Job(name, cls, tenant, int(wait) / 1000, self.wheel.now(), message.target, message.body, key,
+        now = self.wheel.now()
+        remaining = min(int(wait) / 1000, self.answer_by - now)
+        return Job(name, cls, tenant, remaining, now, message.target, message.body, key,
                    headers.get("x-route-key", ""), extras.get("slots", 1.0), extras.get("memory", 0.0),
                    headers.get("x-retried") == "1")
 
@@ -232,10 +242,17 @@
 
     async def drain(self) -> None:
         """Serve what still comes, part with clients, and return once all is answered."""
-        self.draining = True
+        longest = max(cls.deadline for cls in self.config.settings.classes)
+        end = self.wheel.now() + min(longest or LONGEST, LONGEST) + KILL_AFTER
+        self.draining, self.answer_by = True, end - ANSWER_BEFORE
         await asyncio.sleep(PART_AFTER)
+        # In a rolling restart the dispatcher before this one may not be back yet: clients parted with then
+        # found nobody. The connections that they hold are served until somebody else is there.
+        while not self.others() and self.wheel.now() < end - ALONE_BEFORE:
+            await asyncio.sleep(LOOK)
+        self.parting = True
         self._close_idle_clients()
-        await asyncio.sleep(REFUSE_AFTER - PART_AFTER)
+        await asyncio.sleep(REFUSE_AFTER)
         self._close_idle_clients()
         self.refusing = True
         # Each call-back comes on a connection of its own: the listener stays as long as one is waited for, or
--- a/beaconhinge/net/peers.py
+++ b/beaconhinge/net/peers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import socket
 
 from ospreyroute import api
@@ -10,17 +11,22 @@
 from ..config import Config
 from ..core import Core
 from ..stats import Stats
+from ..wheel import Wheel
 
 MAX_BYTES = 256
+HEARD_WITHIN = 1.5  # seconds without a datagram after which no other dispatcher counts as there
 
 
 class Peers:
-    def __init__(self, config: Config, core: Core, stats: Stats) -> None:
+    def __init__(self, config: Config, core: Core, wheel: Wheel, stats: Stats) -> None:
         self.config = config
+        self.wheel = wheel
         self.core = core
         self.stats = stats
         self.move(config)
         self._sock: socket.socket | None = None
+        self._heard_at = -math.inf
+        self._leaving = False
         core.owners[api.Tell] = self._tell
 
     def move(self, config: Config) -> None:
@@ -36,6 +42,16 @@
         self._sock.bind(self.config.peer_listen)
         asyncio.get_running_loop().add_reader(self._sock, self._read)
 
+    def leave(self) -> None:
+        """Tell nothing more, so that no other dispatcher counts on this one."""
+        self._leaving = True
+
+    def others(self) -> bool:
+        """Whether another dispatcher was heard lately; where they cannot be heard, whether there are any."""
+        if self._sock is None:
+            return self.config.settings.group_size > 1
+        return self.wheel.now() - self._heard_at < HEARD_WITHIN
+
     def _read(self) -> None:
         assert self._sock is not None
         for _ in range(64):  # then others have their turn
@@ -51,9 +67,13 @@
                 self.stats.complain("datagram_malformed", sender=sender[0], bytes=len(payload))
                 continue
             self.stats.count("datagrams_received")
+            if number != self.config.settings.own_number:
+                self._heard_at = self.wheel.now()
             self.core.feed(api.PeerMessage(number, payload))
 
     def _tell(self, action: api.Tell) -> None:
+        if self._leaving:
+            return
         if action.peer < 0:
             target = self.everyone
         else:
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -154,7 +154,15 @@
         self.changes = {**self.changes, **changes}
         os.kill(os.getpid(), signal.SIGHUP)
 
-    async def stop(self) -> None:
+    def other_speaks(self) -> None:
+        """A datagram of the other dispatcher."""
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as peer:
+            peer.bind(("127.0.0.1", self.other_port))
+            peer.sendto(b"", ("127.0.0.1", self.peer_port))
+
+    async def stop(self, alone: bool = False) -> None:
+        if not alone:
+            self.other_speaks()
         os.kill(os.getpid(), signal.SIGTERM)
 
 
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -180,6 +180,32 @@
     play(story, accept)
 
 
+def test_after_sigterm_clients_are_served_while_no_other_dispatcher_is_heard(
+    monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr("beaconhinge.net.frontend.LONGEST", 1.5)
+
+    async def story(scene: Stage) -> None:
+        (reader, writer), (slow_reader, slow_writer) = await scene.open(), await scene.open()
+        await scene.stop(alone=True)
+        await asyncio.sleep(0.7)  # with others about it would have parted with both
+        for name in ("r1", "r2"):
+            writer.write(job(X_Request_ID=name))
+            assert (await scene.workers[0].seen.get()).headers["x-request-id"] == name
+            await scene.news(id=name, state="done", result=name)
+            answer = await read_message(reader)
+            assert (answer.body, answer.headers.get("connection")) == (name.encode(), None)
+        slow_writer.write(job(X_Request_ID="r3"))
+        assert int((await scene.workers[0].seen.get()).headers["x-timeout-ms"]) < 1400  # not the 5000 asked for
+        scene.other_speaks()
+        assert await reader.read() == b""  # parted with: it has somewhere to go
+        answer = await read_message(slow_reader)  # before the program may be killed
+        assert (answer.status, answer.headers["connection"]) == (503, "close")
+        await scene.running
+
+    play(story)
+
+
 def test_half_a_message_does_not_hold_its_socket_for_ever(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr("beaconhinge.net.frontend.SLOW_MESSAGE", 0.1)
 
