Let newcomers in when a crowd holds the sockets; limit first messages and bodies

Ruled out: CPU (4 s of 28), workers and discovery (no complaint), descriptors themselves (767 of 1,024). At fault: net/frontend.py _accept() waited until somebody was idle for 1 s, half messages held a socket for 10 s, and call-backs wait in the same backlog; Connection took 16 KiB at once and kept the pieces of refused bodies.

Now a newcomer is let in and who never sent a whole message goes, then who is idle longest; a first message must be whole within 2.5 s of connecting, nothing at all is closed then; read buffers start with 2 KiB; clients' connections and bodies are bounded by limits.memory_mb as well, which may be 32.

--- a/beaconhinge/__main__.py
+++ b/beaconhinge/__main__.py
@@ -33,7 +33,7 @@
     stats = Stats(clock.now)
     wheel = Wheel(clock.now, stats.failure)
     core = Core(Dispatcher(config.settings, config.seed), wheel, stats)
-    budget = Budget(config.limits.sockets)
+    budget = Budget(config.limits.sockets, config.limits.body_bytes)
     workers = Workers(config, core, wheel, budget, stats)
     discovery = Discovery(config, core, workers, wheel, stats)
     peers = Peers(config, core, wheel, stats)
--- a/beaconhinge/config.py
+++ b/beaconhinge/config.py
@@ -25,6 +25,21 @@
     memory_mb: float = 192.0
     sockets: int = 1024
 
+    @property
+    def _spare(self) -> float:
+        """Bytes beside the program itself, which takes 20 MB after a busy day; a fifth stays free."""
+        return 0.8 * (self.memory_mb - 20.0) * 1024 * 1024
+
+    @property
+    def connections(self) -> int:
+        """Of clients: one takes 32 KB at most beside the body, by measurement."""
+        return int(self._spare / 2 / (32 * 1024))
+
+    @property
+    def body_bytes(self) -> int:
+        """Of clients' bodies: each is there twice while its last piece is read, or is passed on."""
+        return int(self._spare / 2 / 2)
+
 
 @dataclass(frozen=True)
 class Config:
@@ -187,7 +202,7 @@
     if not isinstance(given, dict):
         raise ConfigError("limits: must be an object")
     values = {"memory_mb": Limits.memory_mb, "sockets": Limits.sockets, **given}
-    for key, least in (("memory_mb", 64), ("sockets", 64)):
+    for key, least in (("memory_mb", 32), ("sockets", 64)):
         value = values[key]
         if isinstance(value, bool) or not isinstance(value, (int, float)) or not value >= least:
             raise ConfigError(f"limits.{key}: must be a number of {least} or more")
--- a/beaconhinge/net/frontend.py
+++ b/beaconhinge/net/frontend.py
@@ -7,6 +7,7 @@
 import math
 import socket
 from collections.abc import Callable
+from itertools import chain
 from urllib.parse import unquote
 
 from ospreyroute import api
@@ -22,7 +23,8 @@
 SLOW_WRITE = 10.0  # seconds a client has to take its answer
 LINGER = 1.0  # seconds it has to take a last one and close
 SLOW_MESSAGE = 10.0  # seconds from the first byte of a message to its last
-IDLE_FOR = 1.0  # seconds without a request after which a client's connection may go when sockets are short
+FIRST_MESSAGE = 2.5  # seconds from connecting to the end of the first: who never sends one holds a socket
+FRESH = 0.1  # seconds in which a connection that is new, or has had its answer, may have a request on the way
 FOR_WORKERS = 0.25  # part of the sockets that clients leave to connections to workers
 PART_AFTER = 0.45  # seconds after SIGTERM: clients keep coming for 0.4, then idle ones are closed
 REFUSE_AFTER = 0.15  # seconds after that: what was on its way has come
@@ -62,11 +64,13 @@
         self.draining = self.parting = self.refusing = False
         self.answer_by = math.inf
         self.peers: dict[_Peer, None] = {}  # in the order of their last use
+        self.unheard: dict[_Peer, None] = {}  # those that have sent no whole message, in the order they came
+        self.most = min(int((1 - FOR_WORKERS) * budget.total), config.limits.connections)
         self.classes = {name: i for i, name in enumerate(config.class_names)}
         self.tenants = {name: i for i, name in enumerate(config.tenant_names)}
         self._listener: socket.socket | None = None
         self._accepting: asyncio.Task[None] | None = None
-        budget.reclaimers.append(self._close_one_idle)
+        budget.reclaimers.append(self._close_one)
 
     # ---- connections ---------------------------------------------------------------------------------------
 
@@ -76,10 +80,10 @@
 
     async def _accept(self, listener: socket.socket) -> None:
         while True:
-            while not self.budget.take(int(FOR_WORKERS * self.budget.total)):
+            while not self._room():
                 self.stats.complain("clients_wait_for_sockets", used=self.budget.used)
                 with contextlib.suppress(TimeoutError):
-                    async with self.wheel.limit(IDLE_FOR / 4):  # others may be idle for long enough then
+                    async with self.wheel.limit(FRESH / 2):  # others may have been still for long enough then
                         await self.budget.freed()
             try:
                 sock, _ = await asyncio.get_running_loop().sock_accept(listener)
@@ -93,35 +97,50 @@
                 raise
             self._welcome(sock)
 
+    def _room(self) -> bool:
+        """Take a socket for one more connection. Clients and workers' news come in by the same door: when
+        the house is full, somebody who only stands there goes, or those would wait behind a crowd.
+        """
+        return (len(self.peers) < self.most or self._close_one()) and self.budget.take()
+
     def _welcome(self, sock: socket.socket) -> None:
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        peer = _Peer(Connection(sock, requests=True, closed=self.budget.give_back))
+        peer = _Peer(Connection(sock, requests=True, closed=self.budget.give_back, hold=self.budget.hold))
         peer.connection.used_at = self.wheel.now()
-        self.peers[peer] = None
+        self.peers[peer] = self.unheard[peer] = None
         self.stats.count("connections_accepted")
         self.stats.spawn(self._serve(peer), "connection")
 
-    def _close_one_idle(self) -> bool:
-        # One that is new, or has just had its answer, may have a request on the way.
-        oldest = self.wheel.now() - IDLE_FOR
-        peer = next((peer for peer in self.peers if peer.connection.used_at < oldest and peer.idle), None)
-        if peer is not None:
-            self.peers.pop(peer)
-            peer.connection.close()
-        return peer is not None
+    def _close_one(self) -> bool:
+        """First who has never sent a whole message, then who has sent none for the longest."""
+        still = self.wheel.now() - FRESH
+        for peer in chain(self.unheard, self.peers):
+            if peer.connection.used_at < still and (peer in self.unheard or peer.idle):
+                self._forget(peer)
+                peer.connection.close()
+                self.stats.count("connections_closed_for_room")
+                return True
+        return False
+
+    def _forget(self, peer: _Peer) -> None:
+        self.peers.pop(peer, None)
+        self.unheard.pop(peer, None)
 
     async def _serve(self, peer: _Peer) -> None:
         connection = peer.connection
         try:
             while True:
-                data, close = await self._respond(peer, await self._next(connection))
+                message = await self._next(peer)
+                self.unheard.pop(peer, None)
+                data, close = await self._respond(peer, message)
                 if close:
                     await self._part(peer, data)
                     return
                 async with self.wheel.limit(SLOW_WRITE):
                     await connection.send(data)
                 peer.owed, connection.used_at = False, self.wheel.now()
+                connection.release()
                 if self.peers.pop(peer, peer) is None:
                     self.peers[peer] = None  # now the last one used
         except BadMessage as error:
@@ -134,19 +153,26 @@
             await self._part(peer, _problem(500, "internal error", close=True))
         finally:
             peer.owed = False
-            self.peers.pop(peer, None)
+            self._forget(peer)
             connection.close()
 
-    async def _next(self, connection: Connection) -> Message:
-        """The next message. Guards against peers that send a part of one and hold a socket with it."""
-        await connection.begun()
+    async def _next(self, peer: _Peer) -> Message:
+        """The next message. Guards against peers that send a part of one, or nothing, and hold a socket."""
+        connection, limit = peer.connection, SLOW_MESSAGE
+        if peer in self.unheard:
+            limit = FIRST_MESSAGE
+        else:
+            await connection.begun()
         try:
-            async with self.wheel.limit(SLOW_MESSAGE):
+            async with self.wheel.limit(limit):
                 return await connection.next()
         except TimeoutError:
-            raise BadMessage(408, f"the message was not whole after {SLOW_MESSAGE:.0f} s") from None
+            if not connection.partial:
+                raise Closed from None
+            raise BadMessage(408, f"the message was not whole after {limit:g} s") from None
 
     async def _part(self, peer: _Peer, data: bytes) -> None:
+        self.unheard.pop(peer, None)
         peer.owed = True
         try:
             async with self.wheel.limit(LINGER):
@@ -265,7 +291,7 @@
 
     def _close_idle_clients(self) -> None:
         for peer in [peer for peer in self.peers if peer.idle and not peer.tells_news]:
-            self.peers.pop(peer)
+            self._forget(peer)
             peer.connection.close()
 
     def _stop_listening(self) -> None:
--- a/beaconhinge/net/http1.py
+++ b/beaconhinge/net/http1.py
@@ -16,7 +16,7 @@
 MAX_BODY = 64 * 1024
 MAX_MESSAGE = MAX_HEAD + 8 * MAX_BODY  # raw bytes of one message, chunk framing and trailers included
 MAX_INBOX = 4  # messages read ahead on a connection
-READ = 16 * 1024
+READ, READ_FIRST = 16 * 1024, 2 * 1024  # a buffer is small until a peer has filled it: most stay that way
 
 
 class BadMessage(Exception):
@@ -45,7 +45,7 @@
     """One socket with its parser. `requests` tells which side sends the messages that are read here."""
 
     def __init__(self, sock: socket.socket, requests: bool, closed: Callable[[], None],
-                 max_body: int = MAX_BODY) -> None:
+                 max_body: int = MAX_BODY, hold: Callable[[int], bool] = lambda count: True) -> None:
         self.sock = sock
         self.inbox: deque[Message] = deque()
         self.partial = False  # a message has begun and is not whole
@@ -53,7 +53,9 @@
         self._max_body = max_body
         self._closed = closed
         self._open = True
-        self._buffer = bytearray(READ)
+        self._hold = hold
+        self._held = 0  # bytes of bodies for which there is room taken
+        self._buffer = bytearray(READ_FIRST)
         self._view = memoryview(self._buffer)
         self._parser: Any = (httptools.HttpRequestParser if requests else httptools.HttpResponseParser)(self)
         self._requests = requests
@@ -94,8 +96,12 @@
         self._size += len(part)
         if self._size > self._max_body:
             self._fail(413, f"body over {self._max_body} bytes")
-        else:
-            self._chunks.append(part)
+        elif self._fault is None:
+            if self._hold(len(part)):
+                self._held += len(part)
+                self._chunks.append(part)
+            else:
+                self._fail(503, "too many bodies in hand: try again later")
 
     def on_message_complete(self) -> None:
         self.partial = False
@@ -108,6 +114,13 @@
 
     def _fail(self, status: int, reason: str) -> None:
         self._fault = self._fault or BadMessage(status, reason)
+        self._chunks = []  # nobody will read them
+
+    def release(self) -> None:
+        """The bodies read so far have been dealt with."""
+        if not self.partial and not self.inbox:
+            self._hold(-self._held)
+            self._held = 0
 
     # ---- reading and writing ---------------------------------------------------------------------------
 
@@ -121,12 +134,16 @@
             self._take_end()
             return False
         self._raw += count
+        full = count == len(self._buffer) < READ
         try:
             self._parser.feed_data(self._view[:count])
         except httptools.HttpParserUpgrade:
             self._fail(400, "no upgrade is offered")
         except httptools.HttpParserError as error:
             self._fail(400, f"malformed message: {error}")
+        if full:
+            self._buffer = bytearray(READ)
+            self._view = memoryview(self._buffer)
         if self._in_head and self._raw > MAX_HEAD:
             self._fail(431, f"head over {MAX_HEAD} bytes")
         elif self._raw > MAX_MESSAGE:
@@ -179,7 +196,7 @@
         """Let the peer read a last answer: closing on its unread bytes would reset that away."""
         try:
             self.sock.shutdown(socket.SHUT_WR)
-            for _ in range(2 * MAX_BODY // READ):
+            for _ in range(2 * MAX_BODY // len(self._buffer)):
                 if not await self.reading():
                     return
         except OSError:
@@ -191,6 +208,7 @@
             if self._reading is not None:
                 self._reading.cancel()
             self.sock.close()
+            self._hold(-self._held)
             self._closed()
 
 
--- a/beaconhinge/net/sockets.py
+++ b/beaconhinge/net/sockets.py
@@ -10,17 +10,26 @@
 
 
 class Budget:
-    """Counts sockets in use. When short, idle connections are closed first, by whoever holds them."""
+    """Counts sockets in use, and bytes of bodies. When sockets are short, idle connections are closed first,
+    by whoever holds them.
+    """
 
-    def __init__(self, sockets: int) -> None:
+    def __init__(self, sockets: int, body_bytes: int) -> None:
         self.total = sockets - SPARE
         self.used = 0
+        self.body_bytes = body_bytes  # room left for bodies
         self.reclaimers: list[Callable[[], bool]] = []  # each closes one idle connection, if it has one
         self._freed = asyncio.Event()
 
-    def take(self, keep: int = 0) -> bool:
-        """Take one, leaving `keep` to others."""
-        while self.used >= self.total - keep:
+    def hold(self, count: int) -> bool:
+        """Take room for so many bytes of bodies, or give it back."""
+        if count > self.body_bytes:
+            return False
+        self.body_bytes -= count
+        return True
+
+    def take(self) -> bool:
+        while self.used >= self.total:
             if not any(reclaim() for reclaim in self.reclaimers):
                 return False
         self.used += 1
