Judge a worker's speed by its jobs' progress; copy jobs that are stranded

A trace of each attempt and notice: three of nine workers slow down from 8 s on (the same job goes from 0.20 to 0.04 of its work a second), fail nothing, tell a start and progress all the time, and break off at 17 to 19 s; jobs reset there were sent to another of the three. At fault: ospreyroute/decide.py learn() took pace from served jobs only, and nothing repeated a job before its attempt had ended.

Now the progress of a job against its own best gives the worker's speed, which counts in placement, under half of the middle worker it is passed over; a job that will be late there and in time elsewhere, whose worker has gone silent (1.5 notices) or whose start is not told within 1 s gets a copy where a slot is free and the class allows. Jobs that break off when the three go down are still lost time.

--- a/ospreyroute/decide.py
+++ b/ospreyroute/decide.py
@@ -4,11 +4,13 @@
 no I/O and no state outside the object. A job's life: its tenant's bucket admits or refuses it on arrival; it
 goes to a random ready worker, or is held for a slot; each outcome ends it, sends it elsewhere, or fails it.
 """
+import math
 import random
 from bisect import insort
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from statistics import median
 from typing import ClassVar
 
 from . import api, peerwire
@@ -39,7 +41,10 @@
 BENCH_SHARE, TRUST_SHARE = 0.25, 0.15  # failure share at which a worker is benched, and is trusted again
 BENCH_FIRST, BENCH_MOST = 0.5, 8.0  # seconds a worker sits out; doubles while its trial jobs fail
 BENCHED_FLEET = 0.5  # bench no more of the fleet: then the fault lies elsewhere
-SILENT_NOTICES, SILENT_JOBS = 2.5, 3.0  # progress intervals, or mean job times by slots out: a stall
+SILENT_NOTICES, SILENT_JOBS = 1.5, 3.0  # progress intervals, or mean job times by slots out: a stall
+SLOW = 0.5  # speed, by the progress of its jobs and beside the fleet's, under which a worker is passed over
+SPEED_WEIGHT, SPEED_MEMORY = 0.4, 8.0  # weight of one progress notice; seconds after which speed is forgotten
+UNNOTICED = 1.0  # seconds without a start notice after which a free worker elsewhere is better
 PRICE = 100.0  # a price of one point in 100 doubles the preference for an idle connection or the own zone
 COLD_MARGIN = 0.75  # part of the cold budget that is used: hints are rough and peers' clocks differ
 
@@ -69,6 +74,8 @@
     bench_for: float = BENCH_FIRST
     trial: bool = False  # it may have one job at a time until trusted again
     last_sign: float = 0.0
+    speed: float = 1.0  # of its jobs against their own best, and the time of the last notice of it
+    speed_at: float = 0.0
     sent: deque[tuple[float, float]] = field(default_factory=deque)  # (time, slot-seconds) sent while cold
 
 
@@ -80,6 +87,10 @@
     unrun: bool = False  # proven never to have run
     waited: float = 0.0  # before its start, where that is told
     noticed: bool = False  # a sign of its start has come
+    share: float = 0.0  # done by the last progress notice, and the time of that
+    share_at: float = 0.0
+    rate: float = 0.0  # share a second: now, and on a worker at full speed
+    full_rate: float = 0.0
 
 
 @dataclass(slots=True, eq=False)
@@ -143,6 +154,7 @@
         self.pace = 0.0  # of the mean worker
         self.mean_work = 1.0  # of a job, as hinted
         self.job_time = 0.0  # mean latency of what was served
+        self.fleet_speed = 1.0  # of the middle worker
         self.requests: dict[int, _Request] = {}
         # Held jobs by kind, as (rank, until, id, request); rank 0 within quota, 1 beyond it, 2 and 3 late.
         self.held: dict[int, list[tuple[int, float, int, _Request]]] = {}
@@ -415,12 +427,15 @@
         for worker in pool:
             if worker in tried or not self.able(worker, request):
                 continue
+            speed = self.speed(worker) / self.fleet_speed
+            if speed < SLOW and self.now < request.start_by:
+                continue  # it would be late there, and need not be elsewhere
             share = self.cold_share(worker, request)
             if share <= 0:
                 continue
             room = self.room(worker, request)
             limit = worker.limit or max(self.mean_limit, 0.0 if self.blind else worker.out + worker.peer_out)
-            pace = worker.pace or self.pace or 1.0
+            pace = (worker.pace or self.pace or 1.0) / speed**2  # what has slowed down slows on
             if room > 0:
                 ready.append(worker)
                 home = worker.zone == self.settings.zone
@@ -442,15 +457,18 @@
         now = self.now
         if now < worker.benched_until or not self.has_idle(worker) and now < worker.connect_after:
             return False
-        if worker.out:
-            # Guards against a worker that stands still with its process up. With more jobs out one of
-            # them should end sooner; a run of long jobs may cost it new ones until the first ends.
-            patience = SILENT_NOTICES * self.settings.progress
-            patience = patience or self.job_time * (1 + SILENT_JOBS / worker.out)
-            if worker.trial or now - worker.last_sign > patience > 0:
-                return False
+        if worker.out and (worker.trial or self.silent(worker)):
+            return False
         return request.ran is None or self.may_repeat(request, worker)
 
+    def silent(self, worker: _Worker) -> bool:
+        """Guards against a worker with jobs that stands still with its process up, or is cut off. With more
+        jobs out one of them should end sooner; a run of long jobs may cost it new ones until the first ends.
+        """
+        patience = SILENT_NOTICES * self.settings.progress
+        patience = patience or self.job_time * (1 + SILENT_JOBS / max(worker.out, 1.0))
+        return worker.out > 0 and self.now - worker.last_sign > patience > 0
+
     def room(self, worker: _Worker, request: _Request) -> float:
         """Free slots as far as can be seen; 0 if they are too few for the job."""
         if worker.trial:
@@ -652,10 +670,30 @@
         attempt = request.attempts[event.attempt]
         if event.what == api.STARTED:
             attempt.waited = self.now - attempt.sent_at
+            attempt.share_at = self.now
+        elif worker is not None and not self.blind:
+            self.follow(attempt, worker, event.value)
         if not any(a.noticed for a in request.attempts):
             self.call_off(request, attempt)
         attempt.noticed = True
 
+    def follow(self, attempt: _Attempt, worker: _Worker, share: float) -> None:
+        """How fast a job goes on. Its length is not known, but it is the same all the time: when it goes on
+        slower than it did, the worker has slowed down, though it answers and fails nothing.
+        """
+        span = self.now - (attempt.share_at or attempt.sent_at)
+        if span < self.settings.progress / 2 or share < attempt.share:
+            return  # told again, or late
+        rate, speed = (share - attempt.share) / span, self.speed(worker)
+        full = rate if attempt.full_rate else rate / speed
+        attempt.full_rate = max(attempt.full_rate, full, 1e-6)
+        attempt.rate, attempt.share, attempt.share_at = rate, share, self.now
+        worker.speed = max(speed + SPEED_WEIGHT * (rate / attempt.full_rate - speed), 0.01)
+        worker.speed_at = self.now
+
+    def speed(self, worker: _Worker) -> float:
+        return 1 - (1 - worker.speed) * math.exp((worker.speed_at - self.now) / SPEED_MEMORY)
+
     def call_off(self, request: _Request, but: _Attempt | None = None) -> None:
         """Attempts that nobody needs give their places back, where a worker heeds that."""
         for number, attempt in enumerate(request.attempts):
@@ -671,6 +709,33 @@
             return
         last = request.attempts[-1].worker
         last.free, last.free_at = min(last.free, 0.0), self.now
+        self.copy(request)
+
+    def copy_stranded(self) -> None:
+        """A job on a worker that has fallen silent may never end there, one on a worker that has slowed down
+        will be late, and one whose start is not told may never have arrived: a copy takes a free slot.
+        """
+        if not self.settings.tells_start or self.blind:
+            return
+        self.fleet_speed = median([self.speed(w) for w in self.pool[-1]] or [1.0])
+        for request in list(self.requests.values()):
+            out = [a for a in request.attempts if a.open]
+            if out and not request.done and all(self.stranded(request, a) for a in out):
+                self.copy(request)
+
+    def stranded(self, request: _Request, attempt: _Attempt) -> bool:
+        if not attempt.noticed:
+            return self.now - attempt.sent_at > UNNOTICED
+        if self.silent(attempt.worker):
+            return True
+        if attempt.rate >= SLOW * attempt.full_rate * self.fleet_speed:
+            return False
+        whole = 1 / attempt.full_rate
+        due = request.arrived + request.cls.aim + request.cls.stretch * whole
+        left = (1 - attempt.share) / max(attempt.rate, 1e-6)
+        return self.now + whole / self.fleet_speed < due < self.now + left
+
+    def copy(self, request: _Request) -> None:
         allowed = request.cls.semantics != api.FRAGILE and self.settings.may_duplicate and not request.over
         if allowed and len(request.attempts) < self.settings.max_attempts:
             worker = self.choose(request)
@@ -750,6 +815,7 @@
                 self.control()
             self.expire_held()
             self.serve_held()
+            self.copy_stranded()
 
     HANDLERS: ClassVar[dict[type, Callable[..., None]]] = {
         api.Start: on_start, api.Membership: on_membership, api.Job: on_job, api.Outcome: on_outcome,
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -367,3 +367,57 @@
         worker.limit, worker.out, worker.peer_out = 4.0, 3.0, 4.0
     dispatcher.workers[100].out = 0.0
     assert not sends(dispatcher.handle(100.0, job(1)))
+
+
+def notice(dispatcher: Dispatcher, now: float, request: int, worker: int, share: float | None = None) -> None:
+    what = api.STARTED if share is None else api.PROGRESS
+    dispatcher.handle(now, api.Notice(request, worker, 0, what, share or 0.0))
+
+
+NOTED = {"familyInfo__tellsStart": "true", "familyInfo__progress": "1", "policyLimits__mayDuplicate": "true"}
+
+
+def test_a_worker_whose_jobs_go_on_ever_slower_is_passed_over_and_comes_back() -> None:
+    dispatcher = started(count=3, **NOTED)
+    slow = sends(dispatcher.handle(100.0, job(1, remaining=60.0)))[0].worker
+    notice(dispatcher, 100.0, 1, slow)
+    for step, share in enumerate((0.2, 0.4, 0.44, 0.48, 0.5, 0.52)):
+        notice(dispatcher, 101.0 + step, 1, slow, share)
+        notice(dispatcher, 101.0 + step, 1, slow, share)  # told again: no news
+    assert dispatcher.speed(dispatcher.workers[slow]) < decide.SLOW
+    placed = [send for n in range(2, 8) for send in sends(dispatcher.handle(106.0, job(n, remaining=60.0)))]
+    assert placed and slow not in {send.worker for send in placed}
+    for n in range(2, 8):
+        dispatcher.handle(106.5, api.ClientGone(n))
+    for step in range(1, 5):
+        notice(dispatcher, 106.0 + step, 1, slow, 0.52 + 0.1 * step)
+    assert dispatcher.speed(dispatcher.workers[slow]) > decide.SLOW
+
+
+@pytest.mark.parametrize(("shares", "copied"), [
+    ((), True),  # started, then silent
+    ((0.3, 0.6, 0.9), False),
+    ((0.3, 0.31, 0.32), True),  # 100 s to go here, 3 elsewhere
+])
+def test_a_job_that_will_be_late_where_it_is_gets_a_copy_where_a_slot_is_free(
+    shares: tuple[float, ...], copied: bool
+) -> None:
+    dispatcher = started(count=2, requestClasses__0__aim="8", familyInfo__classStretch="0,0,0", **NOTED)
+    first = sends(dispatcher.handle(100.0, job(1, remaining=60.0)))[0].worker
+    notice(dispatcher, 100.0, 1, first)
+    for step, share in enumerate(shares):
+        notice(dispatcher, 101.0 + step, 1, first, share)
+    again = sends(dispatcher.handle(103.1, api.Timer(decide.TICK)))
+    assert [send.request for send in again if send.worker != first] == [1] * copied
+
+
+@pytest.mark.parametrize(("noticed", "cls", "copied"), [(False, 0, True), (True, 0, False), (False, 2, False)])
+def test_a_job_without_a_start_notice_gets_a_copy_where_a_repeat_is_harmless(
+    noticed: bool, cls: int, copied: bool
+) -> None:
+    dispatcher = started(count=2, **NOTED)
+    first = sends(dispatcher.handle(100.0, job(1, cls)))[0].worker
+    if noticed:
+        notice(dispatcher, 100.0, 1, first)
+    assert not sends(dispatcher.handle(100.9, api.Timer(decide.TICK)))
+    assert len(sends(dispatcher.handle(101.1, api.Timer(decide.TICK)))) == copied
