Bar a class where it is turned away; keep connections less long when they prove stale

A trace of outcomes: from 9.2 to 18.5 s five of nine workers turn away every publish after 0.17 s with 2 to 5 slots free by their own report, and serve every render meanwhile. Each single reset, 5 to 10 in 5 s, benched its worker and left it one trial job at a time. Checked and ruled out: load (x0 says free), a drain (the list did not change, renders are served), CPU. At fault: decide.py learn() took such a refusal as the load's or the whole worker's and one break as the worker's; net/workers.py used each kept connection for 4 s though it is dropped unsaid after 0.1 to 0.7 s.

Now a class turned away with free slots is barred on that worker alone, from 0.5 s doubling to 8 s; two breaks without a sign of life between them bench a worker, not one; a kept connection that breaks cuts the time for which any is kept to 0.7 of its own idle time, a good one adds 2% up to the told time.

--- a/beaconhinge/net/workers.py
+++ b/beaconhinge/net/workers.py
@@ -21,6 +21,7 @@
 
 SWEEP = 0.25  # seconds between looks for connections idle for too long
 NEAR_CLOSE = 0.8  # part of the told idle time after which a connection is not used again
+DISTRUST, TRUST = 0.7, 1.02  # a kept connection that breaks cuts that time below its own, a good one adds
 LATE_REPLY = 1.0  # seconds that an answer may take whose attempt is over already
 SERVICE = "service.internal"
 ASIDE = 0.5  # seconds for a probe or a withdrawal
@@ -50,7 +51,7 @@
         self.wheel = wheel
         self.budget = budget
         self.stats = stats
-        self.reuse_within = NEAR_CLOSE * config.settings.idle_close
+        self.reuse_told = self.reuse_within = NEAR_CLOSE * config.settings.idle_close
         self.workers: dict[int, _Worker] = {}
         self.carried: dict[tuple[str, str], _Carried] = {}  # open attempts by request id and worker id
         budget.reclaimers.append(self.close_one_idle)
@@ -126,6 +127,16 @@
         self.stats.count("worker_connections")
         return Connection(sock, requests=False, closed=self.budget.give_back)
 
+    def _kept_well(self, idle_for: float, well: bool) -> None:
+        """Guards against workers, or what stands before them, that drop idle connections long before the told
+        time and do not say so: each request on such a one is lost. A new connection costs little beside that.
+        """
+        if well:
+            self.reuse_within = min(self.reuse_within * TRUST, self.reuse_told)
+        else:
+            self.reuse_within = DISTRUST * min(self.reuse_within, idle_for)
+            self.stats.complain("kept_connection_stale", idle=idle_for, reuse_within=self.reuse_within)
+
     def _keep(self, host: Host, connection: Connection, message: Message) -> None:
         worker = self.workers.get(host.member.worker)
         if message.keep_alive and worker is not None and worker.host.address == host.address:
@@ -164,8 +175,10 @@
         """Send the job and read the answer to that; its result comes later, by a call-back."""
         attempt, job, written = carried.attempt, carried.attempt.job, False
         connection: Connection | None = None
+        idle_for = 0.0
         try:
             connection = await self._connection(carried.host)
+            idle_for = self.wheel.now() - connection.used_at if connection.used_at else 0.0
             left = max(int((attempt.until - self.wheel.now()) * 1000), 1)
             headers = {"Host": SERVICE, "X-Request-ID": job.id, "X-Timeout-Ms": str(left),
                        "Content-Length": str(len(carried.body))}
@@ -182,12 +195,16 @@
             attempt.end(api.RESET if written else api.NO_CONNECTION)
             if connection is not None:
                 connection.close()
+            if idle_for:
+                self._kept_well(idle_for, False)
             return
         except asyncio.CancelledError:  # given up
             if connection is not None:
                 connection.close()
             raise
         carried.taken = message.status == 202
+        if idle_for:
+            self._kept_well(idle_for, True)
         self._keep(carried.host, connection, message)
         if not carried.taken:
             self._answered(attempt, message)
--- a/ospreyroute/decide.py
+++ b/ospreyroute/decide.py
@@ -73,7 +73,10 @@
     benched_until: float = 0.0
     bench_for: float = BENCH_FIRST
     trial: bool = False  # it may have one job at a time until trusted again
+    # Classes whose jobs it turns away with slots free: until when, and for how long that was.
+    barred: dict[api.RequestClass, tuple[float, float]] = field(default_factory=dict)
     last_sign: float = 0.0
+    broke_at: float = -INF  # when a connection to it last broke under a job
     speed: float = 1.0  # of its jobs against their own best, and the time of the last notice of it
     speed_at: float = 0.0
     sent: deque[tuple[float, float]] = field(default_factory=deque)  # (time, slot-seconds) sent while cold
@@ -455,6 +458,8 @@
     def able(self, worker: _Worker, request: _Request) -> bool:
         """Whether a worker may have this job at all, for its health and the rules."""
         now = self.now
+        if now < worker.barred.get(request.cls, (0.0, 0.0))[0]:
+            return False
         if now < worker.benched_until or not self.has_idle(worker) and now < worker.connect_after:
             return False
         if worker.out and (worker.trial or self.silent(worker)):
@@ -619,6 +624,7 @@
             if not self.cold(worker):
                 worker.pace += LEARN * weight * (pace - worker.pace) if worker.pace else pace
                 self.pace += 0.05 * weight * (pace - self.pace) if self.pace else pace
+            worker.barred.pop(request.cls, None)
             worker.fail *= 1 - BLAME
             if worker.trial and worker.fail < TRUST_SHARE:
                 worker.trial, worker.bench_for = False, BENCH_FIRST
@@ -630,6 +636,13 @@
             # hurt a worker that peers have filled unseen, so that a large group wants four in a row.
             unfilled = out + request.slots <= UNFILLED * (worker.limit or self.mean_limit)
             worker.free, worker.free_at = 0.0, self.now
+            if free is not None and round(free) >= request.slots:
+                # Free slots by its own word: it cannot run jobs of this class, and may well run others.
+                length = min(BENCH_MOST, 2 * worker.barred.get(request.cls, (0.0, BENCH_FIRST / 2))[1])
+                worker.barred[request.cls] = self.now + length, length
+                number = self.settings.classes.index(request.cls)
+                self.actions.append(api.Log(f"worker {worker.id} turned away class {number} with slots free"))
+                return
             if worker.trial or unfilled and (worker.refused > 3 or not self.blind):
                 self.blame(worker)
             else:
@@ -642,7 +655,11 @@
             # may cost a job on an open connection to one that stands still.
             worker.connect_after = self.now + worker.connect_wait * (0.75 + 0.5 * self.random.random())
             worker.connect_wait = min(BENCH_MOST, worker.connect_wait * 2)
-        failed = outcome in (api.ERROR, api.RESET) or outcome == api.NO_CONNECTION and not self.blind
+        failed = outcome == api.ERROR or outcome == api.NO_CONNECTION and not self.blind
+        if outcome == api.RESET:
+            # A connection may break under one job while the worker serves the others: two without a sign of
+            # life between them are its fault. When it is down, the next connection says so at no cost.
+            failed, worker.broke_at = worker.last_sign <= worker.broke_at, self.now
         if failed or outcome == api.TIMEOUT and unheard and age > self.job_time:
             self.blame(worker)
         worker.idle = [] if outcome == api.RESET else worker.idle
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -421,3 +421,45 @@
         notice(dispatcher, 100.0, 1, first)
     assert not sends(dispatcher.handle(100.9, api.Timer(decide.TICK)))
     assert len(sends(dispatcher.handle(101.1, api.Timer(decide.TICK)))) == copied
+
+
+def full(request: int, worker: int, free: float) -> api.Outcome:
+    return api.Outcome(request, worker, 0, api.FULL, False, 0.1, {"x0": free})
+
+
+def test_a_class_that_a_worker_with_free_slots_turns_away_is_barred_there_alone() -> None:
+    dispatcher = started(count=2, report__names="x0", report__source="answers", familyInfo__reportX0="free_slots")
+    worker = sends(dispatcher.handle(100.0, job(1)))[0].worker
+    rate, limit = dispatcher.rate, dispatcher.mean_limit
+    again = sends(dispatcher.handle(100.1, full(1, worker, 3.0)))
+    assert [send.worker for send in again] == [201 - worker]
+    placed = [send.worker for n in range(2, 5) for send in sends(dispatcher.handle(100.2, job(n)))]
+    assert placed and worker not in placed  # jobs of that class go elsewhere
+    others = [send.worker for n in range(5, 11) for send in sends(dispatcher.handle(100.2, job(n, 1)))]
+    assert worker in others  # and those of others do not
+    assert (dispatcher.rate, dispatcher.fulls) == (rate, 0) and dispatcher.mean_limit >= limit
+    for n in range(1, 11):
+        dispatcher.handle(100.3, api.ClientGone(n))
+        for attempt, send in enumerate(dispatcher.requests[n].attempts if n in dispatcher.requests else ()):
+            dispatcher.handle(100.3, outcome(n, send.worker.id, api.CANCELLED, attempt))
+    later = [send.worker for n in range(20, 26) for send in sends(dispatcher.handle(101.0, job(n)))]
+    assert worker in later
+
+
+@pytest.mark.parametrize(("breaks", "sign", "benched"), [(1, False, False), (2, False, True), (2, True, False)])
+def test_a_single_broken_connection_does_not_bench_a_worker_that_works(
+    breaks: int, sign: bool, benched: bool
+) -> None:
+    dispatcher = started(count=3)
+    placed: dict[int, int] = {}
+    for n in range(1, 7):
+        for send in sends(dispatcher.handle(100.0, job(n))):
+            placed[n] = send.worker
+    worker = max(placed.values(), key=list(placed.values()).count)
+    mine = [n for n, at in placed.items() if at == worker]
+    assert len(mine) >= 2
+    for n in mine[:breaks]:
+        dispatcher.handle(100.5, outcome(n, worker, api.RESET))
+        if sign:
+            notice(dispatcher, 100.6, n, worker)
+    assert dispatcher.workers[worker].trial == benched
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -147,6 +147,33 @@
     play(story)
 
 
+def test_connections_that_break_when_used_again_are_kept_for_less_long() -> None:
+    async def script(message: Seen) -> bytes | None:
+        if message.headers["x-request-id"] == "r2":
+            return None
+        return reply(202)
+
+    async def served(scene: Stage, name: str) -> None:
+        asked = asyncio.create_task(scene.post(X_Request_ID=name))
+        await scene.workers[0].seen.get()
+        await scene.news(id=name, state="done", result=name)
+        assert (await asked).status == 200
+
+    async def story(scene: Stage) -> None:
+        worker = scene.workers[0]
+        await served(scene, "r1")
+        await asyncio.sleep(0.1)  # well within the 0.4 s of the settings
+        assert (await scene.post(X_Request_ID="r2")).status == 503
+        assert (await worker.seen.get()).headers["x-request-id"] == "r2"
+        await served(scene, "r4")
+        before = worker.connections
+        await asyncio.sleep(0.1)
+        await served(scene, "r5")
+        assert worker.connections == before + 1  # not used again after 0.1 s
+
+    play(story, script)
+
+
 def test_a_pipelined_request_waits_its_turn() -> None:
     async def story(scene: Stage) -> None:
         reader, writer = await scene.open()
