Fail a request that a worker finds faulty at once, and blame no worker for it

Ruled out: a form of ours (the same target is taken from others), the workers (they serve on all the while). At fault: net/workers.py _answered() told every other status as the worker's error, and decide.py then sent the request to two more workers and blamed each.

Now 4xx, but for 408 and 429, is the outcome unusable: the client gets 502 at once, nobody is blamed; the log line names request and target. Framing was tried against the parser as pinned: 22 faulty forms are refused, closed, and nothing behind them is passed on; no change was needed. Tests: the outcome in both packages, seen to fail before; the framing story holds before as well.

--- a/beaconhinge/net/workers.py
+++ b/beaconhinge/net/workers.py
@@ -210,10 +210,15 @@
             self._answered(attempt, message)
 
     def _answered(self, attempt: Attempt, message: Message) -> None:
-        unrun = message.status in (503, 504) and message.headers.get("x-not-processed") == "1"
-        if not unrun and message.status != 500:
-            self.stats.complain("worker_answer_unexpected", worker=attempt.worker, status=message.status)
-        attempt.end(api.FULL if unrun else api.ERROR, load=self._load(message.headers.get("x-server-load")))
+        status = message.status
+        unrun = status in (503, 504) and message.headers.get("x-not-processed") == "1"
+        # Blamed on the worker, a faulty request went to three of them and had each of these left out.
+        unusable = 400 <= status < 500 and status not in (408, 429)  # those two speak of the moment
+        if not unrun and status != 500:
+            self.stats.complain("worker_answer_unexpected", worker=attempt.worker, status=status,
+                                request=attempt.job.id, target=attempt.job.target, why=message.body)
+        outcome = api.FULL if unrun else api.UNUSABLE if unusable else api.ERROR
+        attempt.end(outcome, load=self._load(message.headers.get("x-server-load")))
 
     async def _withdraw(self, carried: _Carried) -> None:
         await self._aside(carried.host, "DELETE", f"/jobs/{carried.attempt.job.id}".encode("latin-1"))
--- a/ospreyroute/api.py
+++ b/ospreyroute/api.py
@@ -21,6 +21,7 @@
 RESET = "connection_lost"
 CANCELLED = "called_off"
 NOT_SENT = "not_sent"
+UNUSABLE = "unusable"  # the worker finds fault with the request itself; not on the simulator's wire
 OUTCOMES = frozenset((SERVED, FULL, ERROR, TIMEOUT, NO_CONNECTION, RESET, CANCELLED, NOT_SENT))
 PROVEN_UNRUN = frozenset((FULL, NO_CONNECTION, NOT_SENT))
 
--- a/ospreyroute/decide.py
+++ b/ospreyroute/decide.py
@@ -778,6 +778,9 @@
             self.call_off(request)
         if request.done:
             self.end(request)
+        elif request.pending == 0 and not request.held and event.outcome == api.UNUSABLE:
+            self.actions.append(api.Abort(request.id))  # no other worker would take it, nor later
+            self.end(request)
         elif request.pending == 0 and not request.held:
             self.again(request)
         self.serve_held()
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -463,3 +463,11 @@
         if sign:
             notice(dispatcher, 100.6, n, worker)
     assert dispatcher.workers[worker].trial == benched
+
+
+def test_a_request_that_a_worker_finds_faulty_is_failed_at_once_and_nobody_is_blamed() -> None:
+    dispatcher = started(count=3)
+    worker = sends(dispatcher.handle(100.0, job(1)))[0].worker
+    assert dispatcher.handle(100.1, outcome(1, worker, api.UNUSABLE)) == [api.Abort(request=1)]
+    assert (dispatcher.workers[worker].fail, dispatcher.workers[worker].trial) == (0.0, False)
+    assert 1 not in dispatcher.requests
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -48,6 +48,8 @@
     (reply(503), "server_error"),
     (reply(503, X_Not_Processed="1"), "turned_away"),
     (reply(504, X_Not_Processed="1"), "turned_away"),
+    (reply(400), "unusable"),
+    (reply(429), "server_error"),
     (None, "connection_lost"),
     (b"nonsense\r\n\r\n", "connection_lost"),
 ])
@@ -101,6 +103,37 @@
     play(story)
 
 
+HIDDEN = job(X_Request_ID="hidden")
+CHUNKED = b"%x\r\n%s\r\n0\r\n\r\n" % (len(HIDDEN), HIDDEN)
+
+
+@pytest.mark.parametrize("data", [
+    job(body=b"0\r\n\r\n" + HIDDEN, Transfer_Encoding="chunked"),
+    job(body=HIDDEN, Transfer_Encoding="chunked, identity"),
+    job(body=CHUNKED, Transfer_Encoding="xchunked", Content_Length=None),
+    job(body=CHUNKED, Transfer_Encoding=" chunked", Content_Length="0"),
+    job(body=HIDDEN, Content_Length=f"0\r\nContent-Length: {len(HIDDEN)}"),
+    job(body=HIDDEN, Content_Length="4, 4"),
+    *(job(body=HIDDEN, Content_Length=length) for length in (
+        "-1", "+4", "4x", "0x4", "", "9" * 30, "18446744073709551620")),
+    *(job(body=chunk + HIDDEN, Transfer_Encoding="chunked", Content_Length=None) for chunk in (
+        b"-1\r\n", b"+1\r\nx\r\n", b"zz\r\n", b"ffffffffffffffffff\r\n", b"4\r\nlonger than that", b"\n4\r\n")),
+    job(body=HIDDEN, Bad_Header="a\x00b"),
+    job(body=HIDDEN, method="PO ST"),
+    job().replace(b"\r\n\r\n", b"\r\nno colon\r\n\r\n", 1),
+])
+def test_faulty_framing_is_refused_and_nothing_behind_it_is_passed_on(data: bytes) -> None:
+    async def story(scene: Stage) -> None:
+        reader, writer = await scene.open()
+        writer.write(data + HIDDEN)
+        answer = await reader.read()  # to its end: the connection is closed
+        assert re.match(rb"HTTP/1.1 (400|413) ", answer)
+        assert answer.count(b"HTTP/1.1 ") == 1
+        assert scene.workers[0].seen.empty()
+
+    play(story)
+
+
 @pytest.mark.parametrize("body", [
     b"", b"{", b"[]", b"7", b"null", b"[" * 60000, b'{"id":"r1"}', b'{"id":[],"from":"s-0","state":"done"}',
     b'{"id":"r1","from":"s-0","state":"done"}', b'{"id":"r1","from":"s-0","state":"done","result":5}',
