--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import os
+import signal
 import socket
 
 import pytest
@@ -37,6 +39,26 @@
     play(story)
 
 
+def test_a_dispatcher_that_stops_tells_nothing_more(monkeypatch: pytest.MonkeyPatch) -> None:
+    module = Scripted([api.Tell(b"before", 1), api.Refuse(1)])
+    monkeypatch.setattr("beaconhinge.__main__.Dispatcher", lambda settings, seed: module)
+
+    async def story(scene: Stage) -> None:
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as peer:
+            peer.bind(("127.0.0.1", scene.other_port))
+            peer.settimeout(0.2)
+            await scene.post()
+            assert peer.recv(300) == b"before"
+            os.kill(os.getpid(), signal.SIGTERM)
+            await asyncio.sleep(0.05)
+            module.on[api.Job] = [api.Tell(b"after", 1), api.Refuse(1)]
+            await scene.post(X_Request_ID="r2")
+            with pytest.raises(TimeoutError):
+                peer.recv(300)
+
+    play(story)
+
+
 def test_the_module_passes_over_bytes_that_are_no_report() -> None:
     async def story(scene: Stage) -> None:
         with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as peer:
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -100,3 +100,17 @@
     log = capfd.readouterr().err
     assert "wait_for_restart=name,limits" in log
     assert "datagrams_without_way=" in log.split(" counters ")[1]
+
+
+def test_a_new_configuration_may_come_while_the_program_stops() -> None:
+    async def story(scene: Stage) -> None:
+        asked = asyncio.create_task(scene.post())
+        await scene.workers[0].seen.get()
+        await scene.stop()
+        scene.reload(discovery="127.0.0.1:9")
+        await asyncio.sleep(0.7)
+        await scene.news(state="done", result="kept")
+        assert (await asked).body == b"kept"
+        await scene.running
+
+    play(story)
