Add an embedded store that survives cuts: log, index, cleaning, recovery

Need: what must outlast a restart had no home.

A package beaconhinge/store: frames with CRC-32C in segments, a manifest replaced atomically, group commit on a thread of its own, cleaning of old segments through the log's end, verify and salvage. A simulated disk keeps only what was synced, tears writes and loses names; a history is cut at every operation and every byte.

--- /dev/null
+++ b/beaconhinge/standin/__init__.py
@@ -0,0 +1,2 @@
+"""Stand-ins for what is outside: disks, script boxes, discovery, clients. For tests, the demo and rehearsals.
+"""
--- /dev/null
+++ b/tests/store/test_store.py
@@ -0,0 +1,328 @@
+"""The store as callers see it: commits of many tasks, scans, cleaning beside them, the end."""
+
+from __future__ import annotations
+
+import asyncio
+import threading
+from collections.abc import Callable, Coroutine
+from pathlib import Path
+from typing import Any
+
+import pytest
+from explore import SMALL, changed
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import Bundle, RuleBasedStateMachine, invariant, rule
+
+from beaconhinge.standin.disk import SimDisk, draws, failing
+from beaconhinge.store import (
+    Delete,
+    Options,
+    Put,
+    Store,
+    StoreClosed,
+    StoreError,
+    StoreFailed,
+    StoreLocked,
+    codec,
+)
+from beaconhinge.store.codec import Change
+from beaconhinge.store.compaction import Pace, Sealed, choose
+
+
+def opened(disk: SimDisk, options: Options = SMALL, **more: Any) -> Store:
+    return Store.open("sim", options, disk=disk, new_id=lambda: b"S" * 16, **more)
+
+
+def play(story: Callable[[], Coroutine[Any, Any, None]]) -> None:
+    async def run() -> None:
+        async with asyncio.timeout(20):
+            await story()
+
+    asyncio.run(run())
+
+
+class Held(SimDisk):
+    """A disk whose syncs wait until the test lets them go on."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.go = threading.Semaphore(0)
+        self.holding = False
+        self.arrived: Callable[[], object] = lambda: None
+
+    def step(self, what: str, name: str, size: int = 0) -> int | None:
+        if what == "sync" and self.holding:
+            self.arrived()
+            self.go.acquire()
+        return super().step(what, name, size)
+
+
+def test_committers_that_wait_at_once_share_one_sync_and_the_loop_goes_on() -> None:
+    async def story() -> None:
+        disk = Held()
+        store = opened(disk)
+        arrived = asyncio.Event()
+        loop = asyncio.get_running_loop()
+        disk.arrived = lambda: loop.call_soon_threadsafe(arrived.set)
+        disk.holding = True
+        first = asyncio.create_task(store.commit([Put(b"0", b"first")]))
+        await arrived.wait()  # its sync stands still, and the loop runs on
+        others = [asyncio.create_task(store.commit([Put(b"%d" % i, b"v")])) for i in range(1, 9)]
+        await asyncio.sleep(0)
+        assert store.get(b"0") is None and not first.done()  # nothing is told or shown before it is durable
+        before = sum(what == "sync" for what, _, _ in disk.log)
+        disk.holding = False
+        disk.go.release()
+        await asyncio.gather(first, *others)
+        syncs = sum(what == "sync" for what, _, _ in disk.log) - before
+        assert syncs == 2 and store.stats()["store_groups"] == 2 and store.stats()["store_batches"] == 9
+        await store.close()
+
+    play(story)
+
+
+def test_a_store_serves_from_what_is_durable_alone() -> None:
+    async def story() -> None:
+        disk = SimDisk()
+        store = opened(disk)
+        await store.commit([Put(b"a", b"1")])
+        disk.faults = failing("sync", 5)
+        with pytest.raises(StoreFailed):
+            await store.commit([Put(b"a", b"2")])
+        assert store.get(b"a") == b"1" and store.failure is not None
+        with pytest.raises(StoreFailed):
+            await store.commit([Put(b"b", b"3")])
+        await store.close()
+
+    play(story)
+
+
+def test_scan_is_ordered_and_goes_on_while_keys_come_and_go() -> None:
+    async def story() -> None:
+        store = opened(SimDisk())
+        await store.commit([Put(key, key) for key in (b"b2", b"a", b"b1", b"c", b"b3")])
+        assert [key for key, _ in store.scan()] == [b"a", b"b1", b"b2", b"b3", b"c"]
+        seen = []
+        for key, value in store.scan(b"b"):
+            assert key == value
+            seen.append(key)
+            if key == b"b1":
+                await store.commit([Delete(b"b2"), Put(b"b4", b"b4"), Put(b"b0", b"b0")])
+        assert seen == [b"b1", b"b3", b"b4"]
+        assert len(store) == 6 and b"b0" in store and b"b2" not in store
+        await store.close()
+
+    play(story)
+
+
+def test_cleaning_goes_on_beside_commits_and_reads() -> None:
+    async def story() -> None:
+        disk = SimDisk()
+        store = opened(disk, Options(**{**{f: getattr(SMALL, f) for f in SMALL.__struct_fields__},
+                                        "segment_bytes": 2000, "compact_bytes_per_s": 10**9}))
+        state: dict[bytes, bytes] = {}
+
+        async def write(writer: int) -> None:
+            for number in range(120):
+                key, value = b"%d-%d" % (writer, number % 7), b"%d" % number * 5
+                await store.commit([Put(key, value)])
+                state[key] = value
+                assert store.get(key) == value
+
+        await asyncio.gather(*(write(writer) for writer in range(4)))
+        assert dict(store.scan()) == state
+        assert int(store.stats()["store_segments_cleaned"]) >= 1
+        await store.compact()
+        assert store.engine.disk_bytes < 3 * sum(store.engine.index.live.values()) + 200
+        await store.close()
+        again = opened(disk.after_cut(draws("none")))
+        assert dict(again.scan()) == state
+        await again.close()
+
+    play(story)
+
+
+def test_damage_met_while_cleaning_stops_the_cleaning_and_no_commit() -> None:
+    async def story() -> None:
+        disk = SimDisk()
+        events: list[str] = []
+        store = opened(disk, log=lambda event, **fields: events.append(event))
+        for number in range(6):
+            await store.commit([Put(b"k%d" % number, b"v" * 50)])
+        await store.commit([Put(b"k0", b"new"), Put(b"k1", b"new")])
+        disk.flip(codec.segment_name(1), codec.HEADER_BYTES + 3 * 73 + 40, 1)
+        with pytest.raises(StoreError):
+            await store.compact()
+        await store.commit([Put(b"later", b"1")])
+        assert store.get(b"later") == b"1" and store.get(b"k0") == b"new" and "store_corrupt" in events
+        await store.close()
+
+    play(story)
+
+
+def test_one_process_one_store_and_a_closed_one_says_so(tmp_path: Path) -> None:
+    async def story() -> None:
+        store = Store.open(tmp_path / "deep" / "folder")
+        with pytest.raises(StoreLocked):
+            Store.open(tmp_path / "deep" / "folder")
+        under_way = asyncio.create_task(store.commit([Put(b"a", b"1")]))
+        await asyncio.sleep(0)
+        await store.close()  # waits for it
+        await under_way
+        for call in (store.commit([Put(b"b", b"")]), store.compact()):
+            with pytest.raises(StoreClosed):
+                await call
+        with pytest.raises(StoreClosed):
+            store.get(b"a")
+        again = Store.open(tmp_path / "deep" / "folder")
+        assert again.get(b"a") == b"1"
+        await again.close()
+
+    play(story)
+
+
+def test_a_folder_that_cannot_be_used_is_one_clear_error(tmp_path: Path) -> None:
+    (tmp_path / "file").write_text("")
+    with pytest.raises(StoreError, match="file"):
+        Store.open(tmp_path / "file" / "folder")
+
+
+def test_a_cancelled_commit_holds_up_nobody() -> None:
+    async def story() -> None:
+        store = opened(SimDisk())
+        tasks = [asyncio.create_task(store.commit([Put(b"%d" % i, b"v")])) for i in range(5)]
+        await asyncio.sleep(0)
+        for task in tasks[::2]:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        await store.commit([Put(b"last", b"v")])
+        assert {b"1", b"3", b"last"} <= {key for key, _ in store.scan()}
+        await store.close()
+
+    play(story)
+
+
+def test_each_real_file_cut_at_each_byte(tmp_path: Path) -> None:
+    """Files as they are on a real disk, shortened: a manifest, an old segment or an index never gives wrong
+    data.
+    """
+    source, work = tmp_path / "source", tmp_path / "work"
+    states: list[dict[bytes, bytes]] = [{}]
+
+    async def fill() -> None:
+        store = Store.open(source, SMALL)
+        for number in range(14):
+            batch: list[Change] = [Put(b"k%d" % (number % 5), b"v%d" % number * 9)]
+            if number % 4 == 3:
+                batch.append(Delete(b"k%d" % ((number + 1) % 5)))
+            await store.commit(batch)
+            states.append(changed(states[-1], batch))
+        await store.close()
+
+    play(fill)
+    names = sorted(p.name for p in source.iterdir() if p.name != "LOCK")
+    active = max(name for name in names if name.endswith(".log"))
+    assert len(names) >= 5
+    work.mkdir()
+    errors = tails = 0
+    for name in names:
+        whole = (source / name).read_bytes()
+        for size in range(len(whole)):
+            for old in work.iterdir():
+                old.unlink()
+            for other in names:
+                (work / other).write_bytes(whole[:size] if other == name else (source / other).read_bytes())
+            try:
+                store = Store.open(work, SMALL)
+            except StoreError as error:
+                assert name in str(error)
+                errors += 1
+                continue
+            found = dict(store.scan())
+            store.shut()
+            if name == active:
+                assert found in states
+                tails += found != states[-1]
+            else:
+                assert found == states[-1], (name, size)  # an index file, which is not needed
+    assert errors > 400 and tails > 20
+
+
+class AgainstADict(RuleBasedStateMachine):
+    """Whatever is done in whatever order, the store holds what a dict would."""
+
+    keys = Bundle("keys")
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.loop = asyncio.new_event_loop()
+        self.disk = SimDisk()
+        self.store = self.open()
+        self.model: dict[bytes, bytes] = {}
+
+    def open(self) -> Store:
+        return opened(self.disk)
+
+    def teardown(self) -> None:
+        self.loop.run_until_complete(self.store.close())
+        self.loop.close()
+
+    @rule(target=keys, key=st.binary(max_size=3))
+    def key(self, key: bytes) -> bytes:
+        return key
+
+    @rule(changes=st.lists(st.tuples(keys, st.none() | st.binary(max_size=60)), min_size=1, max_size=4))
+    def commit(self, changes: list[tuple[bytes, bytes | None]]) -> None:
+        batch: list[Change] = [Delete(key) if value is None else Put(key, value) for key, value in changes]
+        self.loop.run_until_complete(self.store.commit(batch))
+        self.model = changed(self.model, batch)
+
+    @rule()
+    def compact(self) -> None:
+        self.loop.run_until_complete(self.store.compact())
+
+    @rule(kind=st.sampled_from(["closed", "killed", "none", 1, 2, 3]))
+    def restart(self, kind: str | int) -> None:
+        self.loop.run_until_complete(self.store.close())
+        if kind == "killed":
+            self.disk = self.disk.killed()
+        elif kind != "closed":
+            self.disk = self.disk.after_cut(draws(kind))
+        self.store = self.open()
+
+    @invariant()
+    def the_same(self) -> None:
+        assert list(self.store.scan()) == sorted(self.model.items())
+        assert len(self.store) == len(self.model)
+        assert sum(self.store.engine.index.live.values()) == sum(
+            codec.FRAME_BYTES + len(k) + len(v) for k, v in self.model.items())
+
+
+TestAgainstADict = AgainstADict.TestCase
+TestAgainstADict.settings = settings(max_examples=60, stateful_step_count=25, deadline=None, derandomize=True)
+
+
+# ---- what to clean, and how fast -------------------------------------------------------------------------
+
+
+def test_the_segment_with_the_most_dead_bytes_is_cleaned_first() -> None:
+    segments = [Sealed(1, 100, 90, 0), Sealed(2, 100, 30, 0), Sealed(3, 100, 10, 0)]
+    assert choose(segments, 0.5) == 3
+    assert choose(segments[:2], 0.5) == 2
+    assert choose(segments[:1], 0.5) is None and choose([], 0.5) is None
+
+
+def test_deletions_count_as_wanted_but_in_the_oldest_segment() -> None:
+    assert choose([Sealed(1, 100, 90, 0), Sealed(2, 100, 0, 45)], 0.5) == 2
+    assert choose([Sealed(1, 100, 90, 0), Sealed(2, 100, 0, 80)], 0.5) is None
+    assert choose([Sealed(1, 100, 0, 80)], 0.5) == 1
+    # They fill half of all: the oldest is cleaned, though it is all wanted, until they are the oldest.
+    assert choose([Sealed(1, 100, 95, 0), Sealed(2, 100, 0, 100), Sealed(3, 100, 0, 95)], 0.5) == 1
+
+
+def test_the_pace_spreads_bytes_over_time_and_owes_nothing_for_a_pause() -> None:
+    pace = Pace(1000.0)
+    assert pace.wait(10.0, 100) == pytest.approx(0.1)
+    assert pace.wait(10.0, 100) == pytest.approx(0.2)
+    assert pace.wait(20.0, 100) == pytest.approx(0.1)
--- /dev/null
+++ b/tests/store/test_trouble.py
@@ -0,0 +1,353 @@
+"""A disk that is full, fails, writes short or refuses to sync; limits; bytes that are no store."""
+
+from __future__ import annotations
+
+import errno
+import random
+
+import pytest
+from explore import SMALL, Run, clean, content, engine, history
+from hypothesis import given
+from hypothesis import strategies as st
+
+from beaconhinge.standin.disk import SimDisk, draws, failing, full
+from beaconhinge.store import (
+    Delete,
+    Options,
+    Put,
+    StoreCorrupt,
+    StoreError,
+    StoreFailed,
+    StoreFull,
+    StoreTooLarge,
+    StoreVersion,
+    codec,
+    scan,
+)
+from beaconhinge.store.codec import HEADER_BYTES
+from beaconhinge.store.disk import RealDisk
+from beaconhinge.store.engine import Engine
+from beaconhinge.store.repair import salvage, verify
+
+
+def put(store: Engine, key: bytes, value: bytes) -> StoreFull | None:
+    written = store.write([[Put(key, value)]])
+    store.apply(written.placed)
+    return written.failed.get(0)
+
+
+@pytest.mark.parametrize("room", range(0, 60, 7))
+def test_a_full_disk_fails_that_commit_alone_and_undoes_its_bytes(room: int) -> None:
+    disk = SimDisk()
+    store = engine(disk)
+    assert put(store, b"a", b"1" * 40) is None
+    before = disk.content(store.active.name)
+    disk.faults = full(room, disk)
+    failed = put(store, b"b", b"2" * 40)
+    assert isinstance(failed, StoreFull) and "No space left" in str(failed)
+    assert disk.content(store.active.name) == before
+    assert content(store) == {b"a": b"1" * 40}
+    assert content(engine(disk.after_cut(draws("all")))) == {b"a": b"1" * 40}  # not back after a cut either
+    disk.faults = lambda what, name, size: None
+    assert put(store, b"b", b"2" * 40) is None
+    assert content(engine(disk.after_cut(draws("none")))) == {b"a": b"1" * 40, b"b": b"2" * 40}
+
+
+def test_of_a_group_that_does_not_fit_what_fits_alone_is_taken() -> None:
+    disk = SimDisk()
+    store = engine(disk)
+    disk.faults = full(60, disk)
+    written = store.write([[Put(b"large", b"x" * 60)], [Put(b"small", b"y")]])
+    store.apply(written.placed)
+    assert list(written.failed) == [0] and content(store) == {b"small": b"y"}
+
+
+@pytest.mark.parametrize("where", ["log", "MANIFEST.tmp"])
+def test_no_room_for_a_new_segment_leaves_the_old_one_in_use(where: str) -> None:
+    disk = SimDisk()
+    store = engine(disk)
+    while store.active.size < SMALL.segment_bytes:
+        put(store, b"k", b"v" * 50)
+    disk.faults = failing("write", errno.ENOSPC, name=where)
+    assert isinstance(put(store, b"n", b"1"), StoreFull)
+    assert not store.sealed and store.failure is None
+    assert put(store, b"n", b"2") is None and len(store.sealed) == 1
+    assert content(engine(disk.after_cut(draws("none")))) == {b"k": b"v" * 50, b"n": b"2"}
+
+
+def test_a_failed_sync_ends_all_writing_and_is_never_tried_again() -> None:
+    disk = SimDisk()
+    store = engine(disk)
+    put(store, b"a", b"1")
+    disk.faults = failing("sync", errno.EIO)
+    with pytest.raises(StoreFailed, match="sync"):
+        put(store, b"b", b"2")
+    syncs = sum(what == "sync" for what, _, _ in disk.log)
+    for _ in range(3):
+        with pytest.raises(StoreFailed):
+            store.check([Put(b"c", b"3")])
+        with pytest.raises(StoreFailed):
+            put(store, b"c", b"3")
+    assert sum(what == "sync" for what, _, _ in disk.log) == syncs
+    assert content(store) == {b"a": b"1"}  # what was there reads on
+    assert store.counters["store_failed"] == 1
+
+
+@pytest.mark.parametrize("what", ["truncate", "sync"])
+def test_a_write_that_cannot_be_undone_ends_all_writing(what: str) -> None:
+    disk = SimDisk()
+    store = engine(disk)
+    room, fails = full(10, disk), failing(what, errno.EIO)
+    disk.faults = lambda op, name, size: room(op, name, size) or fails(op, name, size)
+    with pytest.raises(StoreFailed):
+        put(store, b"b", b"2" * 30)
+
+
+def test_a_write_that_fails_for_another_reason_than_room_ends_all_writing() -> None:
+    disk = SimDisk()
+    store = engine(disk)
+    disk.faults = failing("write", errno.EIO)
+    with pytest.raises(StoreFailed, match="write"):
+        put(store, b"b", b"2")
+
+
+def test_a_folder_that_does_not_sync_ends_all_writing() -> None:
+    disk = SimDisk()
+    store = engine(disk)
+    while store.active.size < SMALL.segment_bytes:
+        put(store, b"k", b"v" * 50)
+    disk.faults = failing("sync", errno.EIO, name=".")
+    with pytest.raises(StoreFailed, match="folder"):
+        put(store, b"n", b"1")
+
+
+def test_short_writes_are_continued() -> None:
+    disk = SimDisk()
+    disk.faults = lambda what, name, size: 5 if what == "write" and size > 5 else None
+    store = engine(disk)
+    for number in range(20):
+        assert put(store, b"k%d" % number, b"v" * 30) is None
+    assert len(content(engine(disk.after_cut(draws("none"))))) == 20
+
+
+def test_a_full_disk_while_cleaning_loses_nothing_and_cleaning_goes_on_later() -> None:
+    run = Run(SimDisk())
+    run.play(history(3, 12))
+    disk = run.disk.fresh()
+    store = engine(disk)
+    for number in range(8):
+        put(store, b"k%d" % number, b"x" * 50)
+        put(store, b"k0", b"y" * 50)
+    state = content(store)
+    segment, records = next((s, found) for s in store.sealed.values()
+                            if (found := store.records(s, HEADER_BYTES, 10_000)[0]))
+    disk.faults = full(0, disk)
+    assert not store.write([], records).moved
+    assert content(store) == state and content(engine(disk.after_cut(draws("none")))) == state
+    assert not store.drop(segment)  # no room for the manifest: the old one stands
+    disk.faults = lambda what, name, size: None
+    assert clean(store, 0.1) >= 1
+    assert content(store) == state == content(engine(disk.after_cut(draws("none"))))
+
+
+def test_limits_are_named_and_counted() -> None:
+    store = engine(SimDisk(), Options(max_key_bytes=4, max_value_bytes=8, max_batch_bytes=80, segment_bytes=200,
+                                      max_disk_bytes=300, max_index_bytes=10_000))
+    for change, name in ((Put(b"12345", b""), "max_key_bytes"), (Put(b"1", b"123456789"), "max_value_bytes")):
+        with pytest.raises(StoreTooLarge, match=name):
+            store.check([change])
+        assert store.counters["store_limit_" + name] == 1
+    with pytest.raises(StoreTooLarge, match="max_batch_bytes"):
+        store.check([Put(b"1", b"12345678")] * 3)
+    failed = None
+    for number in range(20):
+        failed = failed or put(store, b"%d" % number, b"v" * 8)
+    assert "max_disk_bytes" in str(failed)
+    assert store.disk_bytes <= 300
+    written = store.write([[Delete(b"0")]])  # the way back under the limit
+    assert not written.failed
+
+
+def test_the_index_has_a_bound_on_memory() -> None:
+    store = engine(SimDisk(), Options(max_index_bytes=1000))
+    failed = [put(store, b"%d" % number, b"") for number in range(10)]
+    assert "max_index_bytes" in str(failed[-1]) and store.index.memory <= 1200
+    assert put(store, b"0", b"again") is None  # no new key
+
+
+@pytest.mark.parametrize(("change", "key"), [
+    ({"segment_bytes": 5}, "segment_bytes"), ({"max_batch_bytes": 10}, "max_batch_bytes"),
+    ({"compact_dead_share": 1.5}, "compact_dead_share"), ({"max_key_bytes": 70_000}, "max_key_bytes"),
+    ({"group_bytes": 0}, "group_bytes"), ({"segment_bytes": 1 << 30}, "segment_bytes")])
+def test_options_that_make_no_sense_name_the_key(change: dict[str, int], key: str) -> None:
+    problem = Options(**change).problem()
+    assert problem is not None and problem[0] == key
+
+
+# ---- what the files may hold -----------------------------------------------------------------------------
+
+
+@given(st.binary(max_size=200), st.integers(0, 2**32 - 1), st.integers(-5, 210))
+def test_arbitrary_bytes_are_no_frame_and_raise_nothing(data: bytes, salt: int, offset: int) -> None:
+    assert codec.decode_frame(data, offset, salt) is None
+    assert scan.find_frame(data, salt, 0) is None
+
+
+@given(st.binary(max_size=300), st.booleans())
+def test_arbitrary_bytes_raise_store_errors_alone(data: bytes, with_magic: bool) -> None:
+    for magic, read in ((codec.SEGMENT_MAGIC, lambda d: codec.read_segment_header("x", d, b"S" * 16, 1)),
+                        (codec.MANIFEST_MAGIC, codec.decode_manifest),
+                        (b"", lambda d: scan.read("x", d, 7, False, 0))):
+        try:
+            read((magic if with_magic else b"") + data)
+        except StoreError:
+            pass
+    assert codec.decode_index(data, b"S" * 16, 1, 7, 100) is None
+
+
+@given(st.lists(st.tuples(st.booleans(), st.binary(max_size=20), st.binary(max_size=90)), min_size=1, max_size=5),
+       st.integers(0, 2**32 - 1), st.integers(1, 2**48 - 1))
+def test_frames_come_back_as_written_in_their_own_segment_alone(
+        parts: list[tuple[bool, bytes, bytes]], salt: int, batch: int) -> None:
+    changes = [Put(key, value) if is_put else Delete(key) for is_put, key, value in parts]
+    data = b"".join(codec.encode_batch(salt, batch, 0, changes))
+    offset, seen = 0, []
+    while offset < len(data):
+        frame = codec.decode_frame(data, offset, salt)
+        assert frame is not None and frame.batch == batch
+        assert (frame.first, frame.last) == (offset == 0, offset + frame.size == len(data))
+        seen.append(Put(frame.key, frame.value) if frame.kind == codec.PUT else Delete(frame.key))
+        offset += frame.size
+    assert seen == changes
+    assert codec.decode_frame(data, 0, salt ^ 1) is None
+    found = scan.find_frame(b"#" * 9 + data, salt, 0)
+    assert found is not None and found.offset == 9
+
+
+@pytest.mark.parametrize("name", ["segment", "manifest"])
+def test_a_newer_version_is_refused(name: str) -> None:
+    disk = SimDisk()
+    put(engine(disk), b"a", b"1")
+    file = codec.MANIFEST if name == "manifest" else codec.segment_name(1)
+    data = bytearray(disk.content(file))
+    data[4:6] = (codec.VERSION + 1).to_bytes(2, "little")
+    if name == "manifest":
+        data[-4:] = codec.checksum(bytes(data[:-4])).to_bytes(4, "little")
+    else:
+        data[32:36] = codec.checksum(bytes(data[:32])).to_bytes(4, "little")
+    damaged = disk.fresh()
+    damaged.put(file, bytes(data))
+    with pytest.raises(StoreVersion, match=f"{file}: format version {codec.VERSION + 1}"):
+        engine(damaged)
+    assert damaged.steps == 0
+
+
+def sealed(seed: int = 5) -> SimDisk:
+    disk = SimDisk()
+    store = engine(disk)
+    draw = random.Random(seed)
+    for number in range(40):
+        put(store, b"k%d" % number, bytes(draw.randrange(256) for _ in range(30)))
+        index = store.unindexed()
+        if index is not None:
+            store.write_index(index)
+    assert len(store.sealed) > 3
+    return disk.fresh()
+
+
+@pytest.mark.parametrize("what", ["missing", "shorter", "longer", "another store"])
+def test_a_sealed_segment_that_is_not_what_it_was_is_named(what: str) -> None:
+    disk = sealed()
+    name = codec.segment_name(2)
+    data = disk.content(name)
+    if what == "missing":
+        disk.drop(name)
+    elif what == "another store":
+        disk.put(name, codec.segment_header(b"T" * 16, 2) + data[HEADER_BYTES:])
+    else:
+        disk.put(name, data[:-1] if what == "shorter" else data + b"x")
+    with pytest.raises(StoreCorrupt, match=name):
+        engine(disk)
+    assert disk.steps == 0
+
+
+def test_segments_without_a_manifest_are_not_taken_for_an_empty_store() -> None:
+    disk = sealed()
+    disk.drop(codec.MANIFEST)
+    with pytest.raises(StoreCorrupt, match="MANIFEST"):
+        engine(disk)
+    assert disk.steps == 0
+
+
+def test_a_bad_index_file_costs_time_and_nothing_else() -> None:
+    disk = sealed()
+    want = content(engine(disk.fresh()))
+    for name in [n for n in disk.names() if n.endswith(".idx")]:
+        for offset in range(0, len(disk.content(name)), 3):
+            damaged = disk.fresh()
+            damaged.flip(name, offset, offset % 8)
+            store = engine(damaged)
+            assert store.counters["store_index_unusable"] == 1 and content(store) == want
+
+
+def test_damage_behind_an_index_file_is_found_by_the_read() -> None:
+    disk = sealed()
+    disk.flip(codec.segment_name(1), HEADER_BYTES + 40, 3)
+    store = engine(disk)
+    with pytest.raises(StoreCorrupt, match=codec.segment_name(1)):
+        content(store)
+    assert [d.file for d in verify(disk).damage] == [codec.segment_name(1)]
+
+
+def test_salvage_keeps_every_batch_that_can_be_read_and_lists_the_rest() -> None:
+    disk = sealed()
+    want = content(engine(disk.fresh()))
+    disk.flip(codec.segment_name(2), HEADER_BYTES + 60, 1)
+    target = SimDisk()
+    result = salvage(disk, target, SMALL, lambda event, **fields: None, lambda: b"N" * 16)
+    assert [damage.file for damage in result.lost] == [codec.segment_name(2)] and result.batches == len(want) - 1
+    found = content(engine(target.fresh()))
+    assert len(found) == len(want) - 1 and found.items() <= want.items()
+
+
+@pytest.mark.parametrize("what", ["manifest", "header", "missing"])
+def test_salvage_without_a_manifest_or_a_header(what: str) -> None:
+    disk = sealed()
+    want = content(engine(disk.fresh()))
+    if what == "manifest":
+        disk.drop(codec.MANIFEST)
+    elif what == "header":
+        disk.flip(codec.segment_name(2), 9, 1)
+    else:
+        disk.drop(codec.segment_name(2))
+    target = SimDisk()
+    result = salvage(disk, target, SMALL, lambda event, **fields: None, lambda: b"N" * 16)
+    found = content(engine(target.fresh()))
+    assert result.lost and found.items() <= want.items()
+    assert len(found) == len(want) or what == "missing" and len(found) > len(want) / 2
+
+
+def test_salvage_leaves_out_a_batch_that_lost_a_part() -> None:
+    disk = SimDisk()
+    store = engine(disk)
+    for number in range(3):
+        store.apply(store.write([[Put(b"a%d" % number, b"1" * 9), Put(b"b%d" % number, b"2" * 9)]]).placed)
+    frame = codec.FRAME_BYTES + 11
+    for offset, gone in ((HEADER_BYTES + 5, 0), (HEADER_BYTES + 3 * frame + 30, 1)):
+        damaged = disk.fresh()
+        damaged.flip(store.active.name, offset, 2)
+        target = SimDisk()
+        result = salvage(damaged, target, SMALL, lambda event, **fields: None, lambda: b"N" * 16)
+        kept = [n for n in range(3) if n != gone]
+        assert sorted(content(engine(target.fresh()))) == sorted([b"%c%d" % (c, n) for c in b"ab" for n in kept])
+        assert result.batches == 2 and result.lost
+
+
+def test_a_folder_is_open_once(tmp_path: object) -> None:
+    first, second = RealDisk(str(tmp_path)), RealDisk(str(tmp_path))
+    first.lock()
+    with pytest.raises(BlockingIOError):
+        second.lock()
+    first.unlock()
+    second.lock()
+    second.unlock()
