Keep quota and fleet rate over a restart; our TOML configuration; logs by structlog

Need: a restarted dispatcher began with empty books and admitted by demand instead of by share.

The books become a versioned record in the store, aged and checked at the next start. Our configuration is TOML with typed tables; log lines are written as JSON or logfmt on request. The platform's start loads none of it.

--- a/beaconhinge/__main__.py
+++ b/beaconhinge/__main__.py
@@ -6,7 +6,8 @@
 import os
 import signal
 import sys
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
+from typing import TYPE_CHECKING
 
 import uvloop
 
@@ -16,6 +17,7 @@
 from .clock import Clock
 from .config import Config, ConfigError, load
 from .core import Core
+from .errors import Error
 from .net.discovery import Discovery
 from .net.frontend import Frontend
 from .net.peers import Peers
@@ -25,12 +27,16 @@
 from .stats import Stats
 from .wheel import Wheel
 
+if TYPE_CHECKING:
+    from .books.keeper import Keeper
+    from .config.ours import Ours
 
-async def serve(reader: Callable[[], Config]) -> None:
+
+async def serve(reader: Callable[[], Config], ours: Ours | None = None) -> None:
     config = reader()
     loop = asyncio.get_running_loop()
     clock = Clock()
-    stats = Stats(clock.now)
+    stats = Stats(clock.now, writer=_log_writer(ours, clock) if ours else None)
     wheel = Wheel(clock.now, stats.failure)
     core = Core(Dispatcher(config.settings, config.seed), wheel, stats)
     budget = Budget(config.limits.sockets, config.limits.body_bytes)
@@ -61,6 +67,7 @@
     loop.add_signal_handler(signal.SIGHUP, reload)
     peers.listen()
     core.feed(api.Start())
+    keeper = _keeper(ours, core, wheel, stats) if ours and ours.store.folder else None
     discovery.remembered()
     frontend.listen()
     stats.log("started", name=config.name, listen=f"{config.listen[0]}:{config.listen[1]}",
@@ -70,19 +77,59 @@
     stats.log("stopping", owed=frontend.owing)
     peers.leave()
     await frontend.drain()
+    if keeper is not None:
+        await keeper.write()
+        await keeper.store.close()
+        stats.counters.update(keeper.store.engine.counters)
     stats.report()
     stats.log("stopped")
 
 
-def main() -> int:
+def _log_writer(ours: Ours, clock: Clock) -> Callable[[str, dict[str, object]], None] | None:
+    if ours.log.format == "plain":
+        return None
+    from .logs import writer
+
+    return writer(ours.log.format, sys.stderr, clock.now)
+
+
+def _keeper(ours: Ours, core: Core, wheel: Wheel, stats: Stats) -> Keeper:
+    """The books of the last life are there before the module hears of anything. Blocks; the door is shut
+    still.
+    """
+    from .books.keeper import Keeper
+    from .store import Store
+
+    keeper = Keeper(Store.open(ours.store.folder, ours.store, log=stats.log), core.dispatcher, wheel, stats,
+                    ours.books.interval_s, ours.books.max_age_s)
+    keeper.restore()
+    keeper.keep()
+    return keeper
+
+
+def run(environment: Mapping[str, str]) -> int:
+    """Serve until a signal ends it; the exit status. BEACONHINGE_CONFIG names our own TOML, where there is
+    one.
+    """
+
     # libuv's io_uring starts a kernel thread that polls. It took nine tenths of the CPU within half a core,
     # and the work here ran late. libuv reads this when the loop is made.
     os.environ["UV_USE_IO_URING"] = "0"
+    ours = None
     try:
-        uvloop.run(serve(lambda: load(os.environ)))
+        if environment.get("BEACONHINGE_CONFIG"):
+            from .config.ours import read
+
+            ours = read(environment["BEACONHINGE_CONFIG"])
+            if ours.platform.config:
+                environment = {**environment, "RELAY_CONFIG": ours.platform.config}
+        uvloop.run(serve(lambda: load(environment), ours))
     except ConfigError as error:
         print(f"beaconhinge: {error}", file=sys.stderr)
         return 2
+    except Error as error:
+        print(f"beaconhinge: cannot start: {error}", file=sys.stderr)
+        return 1
     except OSError as error:
         print(f"beaconhinge: cannot serve: {error}", file=sys.stderr)
         return 1
@@ -90,4 +137,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(run(os.environ))
--- /dev/null
+++ b/beaconhinge/books/keeper.py
@@ -0,0 +1,57 @@
+"""Writes the books into the store at an interval and at an orderly stop, and reads them at a start."""
+
+from __future__ import annotations
+
+from ospreyroute.decide import Dispatcher
+
+from ..stats import Stats
+from ..store import Put, Store, StoreError
+from ..wheel import Wheel
+from . import record
+
+KEY = b"books"
+
+
+class Keeper:
+    def __init__(self, store: Store, dispatcher: Dispatcher, wheel: Wheel, stats: Stats, interval_s: float,
+                 max_age_s: float) -> None:
+        self.store = store
+        self.dispatcher = dispatcher
+        self.wheel = wheel
+        self.stats = stats
+        self.interval_s = interval_s
+        self.max_age_s = max_age_s
+
+    def restore(self) -> bool:
+        """After the module has been started and before it is fed anything else."""
+        try:
+            data = self.store.get(KEY)
+            if data is None:
+                return False
+            now = self.wheel.now()
+            found = record.decode(data)
+            age = record.check(found, self.dispatcher.settings, now, self.max_age_s)
+        except (record.Stale, StoreError) as why:
+            self.stats.complain("books_dropped", why=why)
+            return False
+        record.restore(self.dispatcher, found, now, age)
+        self.stats.count("books_restored")
+        self.stats.log("books_restored", age=age, tenants=len(found.quota), others=len(found.peers))
+        return True
+
+    def keep(self) -> None:
+        """Write them from now on, at the interval."""
+        self.wheel.after(self.interval_s, lambda: self.stats.spawn(self._again(), "books"))
+
+    async def _again(self) -> None:
+        await self.write()
+        if self.store.failure is None:  # read-only for good: told once, and there is nothing more to try
+            self.keep()
+
+    async def write(self) -> None:
+        taken = record.encode(record.take(self.dispatcher, self.wheel.now()))
+        try:
+            await self.store.commit([Put(KEY, taken)])
+            self.stats.count("books_written")
+        except StoreError as error:
+            self.stats.complain("books_not_written", why=error)
--- /dev/null
+++ b/beaconhinge/books/record.py
@@ -0,0 +1,130 @@
+"""The books of the decision module as a versioned record, and back. Pure: times are arguments.
+
+A dispatcher that starts with empty books takes one Nth of each share, while the others still count what it
+used before, and admits without a limit until it has seen a full fleet by itself. With its books it goes on
+where it was, aged by the time that has passed: allowances grow as they would have, a cut of the fleet rate
+fades at the pace at which the rate rises, and others that have been silent for too long are not counted.
+"""
+
+from __future__ import annotations
+
+import hashlib
+
+import msgspec
+
+from ospreyroute import decide
+from ospreyroute.api import Settings
+from ospreyroute.decide import Dispatcher
+
+VERSION = 1
+FUTURE = 1.0  # seconds by which a record may lie ahead of the clock: clocks are set now and then
+
+
+class Stale(Exception):
+    """A record that must not be used; the text says why."""
+
+
+class Bucket(msgspec.Struct, array_like=True, frozen=True):
+    tenant: int
+    cls: int
+    demand: float  # work a second
+    admitted: float
+    tokens: float
+    rate: float
+
+
+class Peer(msgspec.Struct, array_like=True, frozen=True):
+    number: int
+    incarnation: int
+    sequence: int
+    silent: float  # seconds since it was heard
+    known: float
+    span: float
+    demand: list[tuple[int, int, float]]
+    admitted: float
+
+
+class Record(msgspec.Struct, frozen=True):
+    version: int
+    taken_at: float  # Unix time, seconds
+    settings: str  # of what the books depend on
+    rate: float  # work a second that the fleet admits; infinite while there is no cut
+    part: float
+    mean_work: float
+    pace: float
+    job_time: float
+    quota: list[float]
+    buckets: list[Bucket]
+    peers: list[Peer]
+
+
+def fingerprint(settings: Settings) -> str:
+    """Of the settings without which the figures mean something else."""
+    named = repr((settings.classes, settings.tenants, settings.group_size, settings.own_number))
+    return hashlib.blake2s(named.encode(), digest_size=8).hexdigest()
+
+
+def take(dispatcher: Dispatcher, now: float) -> Record:
+    """The books as they stand. Changes nothing."""
+    return Record(
+        VERSION, now, fingerprint(dispatcher.settings), dispatcher.rate, dispatcher.part,
+        dispatcher.mean_work, dispatcher.pace, dispatcher.job_time, list(dispatcher.quota),
+        [Bucket(tenant, cls, b.demand, b.admitted, b.tokens, b.rate)
+         for (tenant, cls), b in dispatcher.buckets.items()],
+        [Peer(number, p.incarnation, p.sequence, now - p.heard, p.known, p.span,
+              [(*key, rate) for key, rate in p.demand.items()], p.admitted)
+         for number, p in dispatcher.peers.items()])
+
+
+def encode(record: Record) -> bytes:
+    return msgspec.msgpack.encode(record)
+
+
+def decode(data: bytes) -> Record:
+    """Raises Stale for what is no record, or one of another version."""
+    try:
+        version = msgspec.msgpack.decode(data, type=dict[str, msgspec.Raw]).get("version")
+        if version is None or msgspec.msgpack.decode(version, type=int) != VERSION:
+            raise Stale("written in another version of the record")
+        return msgspec.msgpack.decode(data, type=Record)
+    except (msgspec.DecodeError, msgspec.ValidationError) as error:
+        raise Stale(f"unreadable: {error}") from None
+
+
+def check(record: Record, settings: Settings, now: float, max_age: float) -> float:
+    """Seconds that the record is old. Raises Stale."""
+    age = now - record.taken_at
+    if age < -FUTURE:
+        raise Stale(f"taken {-age:.1f} s in the future")
+    if not age <= max_age:
+        raise Stale(f"{age:.1f} s old, more than {max_age:g}")
+    if record.settings != fingerprint(settings):
+        raise Stale("taken under other settings or in another group")
+    return max(age, 0.0)
+
+
+def restore(dispatcher: Dispatcher, record: Record, now: float, age: float) -> None:
+    """Fill the books of a dispatcher that has just been started at `now`, from a record that old."""
+    told = dispatcher.settings
+    dispatcher.mean_work, dispatcher.pace = record.mean_work, record.pace
+    dispatcher.job_time = record.job_time
+    # Its reports carry on the smoothed figures instead of starting them anew.
+    dispatcher.started = now - decide.MEMORY * dispatcher.report_after
+    dispatcher.rate = record.rate * (1 + decide.STEP) ** (age / decide.CONTROL_AFTER)
+    for peer in record.peers:
+        kept = decide._Peer(peer.incarnation, peer.sequence, now - peer.silent - age, peer.known, peer.span)
+        if peer.silent + age <= decide.SILENT_REPORTS * peer.span:
+            kept.demand = {(tenant, cls): rate for tenant, cls, rate in peer.demand}
+            kept.admitted = peer.admitted
+        if peer.number in dispatcher.mates:
+            dispatcher.peers[peer.number] = kept
+    for bucket in record.buckets:
+        most = max(decide.BURST * bucket.rate, decide.BURST_JOBS * record.mean_work)
+        tokens = 0.0 if bucket.rate == decide.INF else min(bucket.tokens + age * bucket.rate, most)
+        dispatcher.buckets[bucket.tenant, bucket.cls] = decide._Bucket(
+            0.0, 0.0, bucket.demand, bucket.admitted, tokens, bucket.rate)
+    dispatcher.part = dispatcher.own_part(dispatcher.total_demand()) if not dispatcher.blind else record.part
+    for tenant, level in enumerate(record.quota):
+        rate = told.tenants[tenant].quota_rps * dispatcher.part
+        most = max(decide.BURST_JOBS, decide.BURST * rate)
+        dispatcher.quota[tenant] = min(level + age * rate, most)
--- /dev/null
+++ b/beaconhinge/config/ours.py
@@ -0,0 +1,106 @@
+"""Our own configuration: one TOML file, a table for each subsystem, all of it optional and off by default.
+
+Unknown keys are refused with the nearest known one; each error is one line that names file, key and reason.
+"""
+
+from __future__ import annotations
+
+import difflib
+import os
+import tomllib
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Any, Literal, get_type_hints
+
+import msgspec
+
+from ..store.options import Options
+from .platform import ConfigError
+
+
+class Platform(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Where the platform's JSON is. Without it the variable RELAY_CONFIG names the file, as on the platform.
+    """
+
+    config: str = ""
+
+
+class Log(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Form of the log's lines. `plain` needs no library; the others are written by structlog."""
+
+    format: Literal["plain", "logfmt", "json"] = "plain"
+
+
+class StoreTable(Options, frozen=True, forbid_unknown_fields=True):
+    """The embedded store; off while `folder` is empty."""
+
+    folder: str = ""
+
+
+class Books(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Quota and fleet rate, kept in the store over a restart."""
+
+    interval_s: float = 0.5
+    max_age_s: float = 30.0
+
+    def problem(self) -> tuple[str, str] | None:
+        for name in ("interval_s", "max_age_s"):
+            if not 0 < getattr(self, name) < float("inf"):
+                return name, "must be a number of seconds, more than 0"
+        return None
+
+
+class Ours(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    platform: Platform = Platform()
+    log: Log = Log()
+    store: StoreTable = StoreTable()
+    books: Books = Books()
+
+
+def read(path: str | os.PathLike[str]) -> Ours:
+    """Raises ConfigError. Paths in the file are taken from the folder that the file is in."""
+    file = Path(path)
+    try:
+        content = tomllib.loads(file.read_text(encoding="utf-8"))
+    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
+        raise ConfigError(f"{path}: {error}") from None
+    ours = convert(content, str(path))
+    platform, store = ours.platform, ours.store
+    if platform.config:
+        platform = msgspec.structs.replace(platform, config=str(file.parent / platform.config))
+    if store.folder:
+        store = msgspec.structs.replace(store, folder=str(file.parent / store.folder))
+    return msgspec.structs.replace(ours, platform=platform, store=store)
+
+
+def convert(content: Mapping[str, Any], name: str) -> Ours:
+    """Raises ConfigError, with `name` for the file."""
+    _known(content, Ours, name, "")
+    try:
+        ours = msgspec.convert(content, Ours)
+    except msgspec.ValidationError as error:
+        reason, _, place = str(error).partition(" - at `$.")
+        raise ConfigError(f"{name}: {place.rstrip('`')}: {reason}") from None
+    for table in ("store", "books"):
+        problem = getattr(ours, table).problem()
+        if problem is not None:
+            raise ConfigError(f"{name}: {table}.{problem[0]}: {problem[1]}")
+    return ours
+
+
+def _known(content: Mapping[str, Any], kind: type[msgspec.Struct], name: str, path: str) -> None:
+    hints = get_type_hints(kind)
+    for key, value in content.items():
+        if key not in kind.__struct_fields__:
+            near = difflib.get_close_matches(key, kind.__struct_fields__, 1, 0.5)
+            hint = f"; did you mean {path}{near[0]}?" if near else ""
+            raise ConfigError(f"{name}: {path}{key}: no such key{hint}")
+        inner = hints[key]
+        if isinstance(inner, type) and issubclass(inner, msgspec.Struct) and isinstance(value, Mapping):
+            _known(value, inner, name, f"{path}{key}.")
+
+
+def tables(ours: Ours) -> dict[str, dict[str, Any]]:
+    """Every key with its value, for printing."""
+    told: dict[str, dict[str, Any]] = msgspec.to_builtins(ours)
+    return told
--- a/beaconhinge/config.py
+++ b/beaconhinge/config/platform.py
@@ -1,4 +1,4 @@
-"""The one reader of environment and configuration: checks, defaults, errors that name the faulty key."""
+"""The platform's environment and JSON: checks, defaults, errors that name the faulty key."""
 
 from __future__ import annotations
 
@@ -11,12 +11,13 @@
 
 from ospreyroute.api import DEDUP, Settings
 
-from .inventory import Hosts, Inventory, InventoryError
+from ..errors import Error
+from ..inventory import Hosts, Inventory, InventoryError
 
 Address = tuple[str, int]
 
 
-class ConfigError(Exception):
+class ConfigError(Error):
     """One line that names the faulty key."""
 
 
--- a/beaconhinge/stats.py
+++ b/beaconhinge/stats.py
@@ -13,9 +13,11 @@
 
 
 class Stats:
-    def __init__(self, now: Callable[[], float], sink: TextIO | None = None) -> None:
+    def __init__(self, now: Callable[[], float], sink: TextIO | None = None,
+                 writer: Callable[[str, dict[str, object]], None] | None = None) -> None:
         self.now = now
         self.sink = sink or sys.stderr
+        self._write = writer or self._plain_line  # another form comes from `beaconhinge.logs`
         self.counters: Counter[str] = Counter()
         self.tasks: set[asyncio.Task[Any]] = set()
         self._quiet_until: dict[str, float] = {}
@@ -24,12 +26,15 @@
         self.counters[name] += by
 
     def log(self, event: str, **fields: object) -> None:
-        parts = [f"{self.now():.3f}", event, *(f"{key}={_plain(value)}" for key, value in fields.items())]
         try:
-            print(" ".join(parts), file=self.sink, flush=True)
+            self._write(event, fields)
         except OSError:  # nobody reads the log any more: no reason to stop serving
             self.count("log_lost")
 
+    def _plain_line(self, event: str, fields: dict[str, object]) -> None:
+        parts = [f"{self.now():.3f}", event, *(f"{key}={_plain(value)}" for key, value in fields.items())]
+        print(" ".join(parts), file=self.sink, flush=True)
+
     def complain(self, name: str, **fields: object) -> None:
         """Count what should not happen and log it, at a limited rate: a peer may send it without end."""
         self.count(name)
--- a/beaconhinge/store/codec.py
+++ b/beaconhinge/store/codec.py
@@ -36,7 +36,7 @@
 
 # Magic, version, reserved, store's id, number, bytes of the segment, entries, its header's checksum.
 _INDEX_HEADER = struct.Struct("<4sHH16sQQQI")
-_ENTRY = struct.Struct("<IIBH")  # offset, length of key and value, kind, key's length
+_ENTRY = struct.Struct("<IIBH")  # offset and bytes of the frame, its kind, length of its key
 
 _extend = google_crc32c.extend
 
@@ -149,6 +149,18 @@
                  data[offset + FRAME_BYTES:middle], data[middle:end], FRAME_BYTES + length)
 
 
+def value_of(data: bytes, salt: int, key: bytes) -> bytes | None:
+    """The value in a whole frame that puts `key`, or None when `data` is no such frame."""
+    if len(data) < FRAME_BYTES:
+        return None
+    crc, length, _, _, marked, key_length = _FRAME.unpack_from(data)
+    middle = FRAME_BYTES + key_length
+    if _extend(salt, data[_SUMMED:]) != crc or FRAME_BYTES + length != len(data) or not marked & PUT \
+            or data[FRAME_BYTES:middle] != key:
+        return None
+    return data[middle:]
+
+
 def encode_batch(salt: int, batch: int, group: int, changes: Iterable[Change]) -> list[bytes]:
     """One frame a change, in order; the first and the last one are marked."""
     listed = list(changes)
@@ -169,8 +181,9 @@
 # ---- index files ---------------------------------------------------------------------------------------
 
 
-def index_entry(offset: int, kind: int, key: bytes, value_bytes: int) -> bytes:
-    return _ENTRY.pack(offset, len(key) + value_bytes, kind, len(key)) + key
+def index_entry(offset: int, kind: int, key: bytes, size: int) -> bytes:
+    """`size` counts the whole frame."""
+    return _ENTRY.pack(offset, size, kind, len(key)) + key
 
 
 def encode_index(store_id: bytes, number: int, salt: int, segment_bytes: int, count: int,
@@ -197,10 +210,9 @@
 def _entries(data: bytes, at: int, count: int) -> Iterator[tuple[int, int, int, bytes]]:
     unpack, size = _ENTRY.unpack_from, _ENTRY.size
     for _ in range(count):
-        offset, length, kind, key_length = unpack(data, at)
-        at += size
-        yield offset, FRAME_BYTES + length, kind, data[at:at + key_length]
-        at += key_length
+        offset, frame, kind, key_length = unpack(data, at)
+        at += size + key_length
+        yield offset, frame, kind, data[at - key_length:at]
 
 
 # ---- the manifest --------------------------------------------------------------------------------------
--- a/beaconhinge/store/engine.py
+++ b/beaconhinge/store/engine.py
@@ -40,13 +40,6 @@
     def name(self) -> str:
         return codec.segment_name(self.number)
 
-    def note(self, offset: int, kind: int, key: bytes, size: int, keep: bool = True) -> None:
-        if kind == DELETE:
-            self.deletions += size
-        if keep:
-            self.entries += codec.index_entry(offset, kind, key, size - codec.FRAME_BYTES - len(key))
-            self.count += 1
-
 
 @dataclass(slots=True)
 class Written:
@@ -158,9 +151,15 @@
 
     def _load_frames(self, segment: Segment, data: bytes, newest: bool, after_batch: int) -> scan.Scan:
         found = scan.read(segment.name, data, segment.salt, newest, after_batch)
+        put, delete, base = self.index.put, self.index.delete, segment.number << 64
         for frame in found.frames:
-            segment.note(frame.offset, frame.kind, frame.key, frame.size)
-            self.apply([(frame.key, frame.kind, place(segment.number, frame.offset, frame.size))])
+            segment.entries += codec.index_entry(frame.offset, frame.kind, frame.key, frame.size)
+            if frame.kind == PUT:
+                put(frame.key, base | frame.offset << 32 | frame.size)
+            else:
+                delete(frame.key)
+                segment.deletions += frame.size
+        segment.count = len(found.frames)
         segment.last_batch = found.last_batch
         return found
 
@@ -334,23 +333,26 @@
         room = self.options.max_disk_bytes - self.disk_bytes
         memory = self.options.max_index_bytes - self.index.memory
         for i, changes in enumerate(batches):
-            full = self._no_room(changes, room, memory)
+            growth = sum(map(codec.frame_size, changes))
+            full = self._no_room(changes, growth, room, memory)
             if full is not None:
                 result.failed[i] = full
                 continue
-            room -= sum(map(codec.frame_size, changes))
+            room -= growth
             whole.append((i, changes))
         self._write_group(whole, result)
         return result
 
-    def _no_room(self, changes: Sequence[Change], room: int, memory: int) -> StoreFull | None:
+    def _no_room(self, changes: Sequence[Change], growth: int, room: int, memory: int) -> StoreFull | None:
         """Deletions may go over the limits by a segment's length: they are the way back under them."""
-        growth = sum(map(codec.frame_size, changes))
-        puts = [c.key for c in changes if isinstance(c, Put)]
-        if growth > room + (0 if puts else self.options.segment_bytes):
-            self.counters["store_limit_max_disk_bytes"] += 1
-            return self.full(f"max_disk_bytes is {self.options.max_disk_bytes}")
-        new = [key for key in puts if key not in self.index.places]
+        if growth > room:
+            puts = any(isinstance(change, Put) for change in changes)
+            if puts or growth > room + self.options.segment_bytes:
+                self.counters["store_limit_max_disk_bytes"] += 1
+                return self.full(f"max_disk_bytes is {self.options.max_disk_bytes}")
+        if growth <= memory:
+            return None
+        new = [c.key for c in changes if isinstance(c, Put) and c.key not in self.index.places]
         if new and sum(map(len, new)) > memory:
             self.counters["store_limit_max_index_bytes"] += 1
             return self.full(f"max_index_bytes is {self.options.max_index_bytes}")
@@ -377,15 +379,21 @@
         segment, start, batch = self.active, self.active.size, self.batch
         pieces: list[bytes] = []
         placed: list[Placed] = []
-        offset = start
+        entries: list[bytes] = []
+        deletions = 0
+        offset, base = start, segment.number << 64
         for _, changes in whole:
             batch += 1
-            for change, frame in zip(changes, codec.encode_batch(segment.salt, batch, start, changes),
-                                     strict=True):
+            frames = codec.encode_batch(segment.salt, batch, start, changes)
+            pieces += frames
+            for change, frame in zip(changes, frames, strict=True):
+                key, size = change.key, len(frame)
                 kind = PUT if isinstance(change, Put) else DELETE
-                placed.append((change.key, kind, place(segment.number, offset, len(frame))))
-                pieces.append(frame)
-                offset += len(frame)
+                placed.append((key, kind, base | offset << 32 | size))
+                entries.append(codec.index_entry(offset, kind, key, size))
+                if kind == DELETE:
+                    deletions += size
+                offset += size
         try:
             write_all(segment.file, b"".join(pieces), start)
         except OSError as error:
@@ -401,9 +409,9 @@
             return
         self._sync(segment.file)
         segment.size, segment.last_batch, self.batch = offset, batch, batch
-        for key, kind, where in placed:
-            _, at, size = parts(where)
-            segment.note(at, kind, key, size)
+        segment.entries += b"".join(entries)
+        segment.count += len(entries)
+        segment.deletions += deletions
         result.placed += placed
         self.counters["store_groups"] += 1
         self.counters["store_batches"] += len(whole)
@@ -500,12 +508,12 @@
     def read(self, where: int, key: bytes) -> bytes:
         """The value at a place. Raises StoreCorrupt when it is not what was written."""
         number, offset, size = parts(where)
-        segment = self.active if number == self.active.number else self.sealed[number]
-        data = segment.file.read(offset, size)
-        frame = codec.decode_frame(data, 0, segment.salt, offset)
-        if frame is None or frame.key != key or frame.kind != PUT:
+        active = self.active
+        segment = active if number == active.number else self.sealed[number]
+        value = codec.value_of(segment.file.read(offset, size), segment.salt, key)
+        if value is None:
             raise self._corrupt(segment.name, offset)
-        return frame.value
+        return value
 
     def _corrupt(self, name: str, offset: int) -> StoreCorrupt:
         self.counters["store_corrupt"] += 1
--- a/beaconhinge/store/index.py
+++ b/beaconhinge/store/index.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import defaultdict
 from collections.abc import Iterator
 
 from sortedcontainers import SortedList
@@ -10,7 +11,6 @@
 
 # A place is one whole number, since a tuple would take three times the memory: segment, offset, bytes of the
 # frame.
-_OFFSET_BITS = _SIZE_BITS = 32
 _MASK = (1 << 32) - 1
 
 
@@ -27,7 +27,7 @@
 
     def __init__(self) -> None:
         self.places: dict[bytes, int] = {}
-        self.live: dict[int, int] = {}  # bytes of frames that hold a present value, by segment
+        self.live: defaultdict[int, int] = defaultdict(int)  # bytes of frames of present values
         self.key_bytes = 0
         self._order: SortedList | None = None
 
@@ -40,11 +40,12 @@
         return self.key_bytes + KEY_BYTES * len(self.places)
 
     def put(self, key: bytes, where: int) -> None:
-        old = self.places.get(key)
-        self.places[key] = where
-        self.live[where >> 64] = self.live.get(where >> 64, 0) + (where & _MASK)
+        places, live = self.places, self.live
+        old = places.get(key)
+        places[key] = where
+        live[where >> 64] += where & _MASK
         if old is not None:
-            self.live[old >> 64] -= old & _MASK
+            live[old >> 64] -= old & _MASK
             return
         self.key_bytes += len(key)
         if self._order is not None:
