Add the command line, the demo among stand-ins and JSON or logfmt log lines

Need: operators want one command that shows the program at work, and tools for the store.

beaconhinge run, config check|show, store stat|verify|dump|compact|repair|bench and demo, on typer and rich; wrong use ends with status 2 and one line. Stand-in boxes, discovery and clients on loopback sockets. deploy/edge.toml shows every key with its default.

--- /dev/null
+++ b/beaconhinge/cli/config.py
@@ -0,0 +1,58 @@
+"""`beaconhinge config`: check a configuration, or show every key with its value."""
+
+from __future__ import annotations
+
+import json
+import sys
+from pathlib import Path
+from typing import Annotated
+
+import typer
+
+app = typer.Typer(no_args_is_help=True, help="Check or show a configuration: JSON or TOML.")
+AsJson = Annotated[bool, typer.Option("--json", help="For scripts.")]
+
+
+@app.command()
+def check(file: Annotated[Path, typer.Argument(exists=True, dir_okay=False)], as_json: AsJson = False) -> int:
+    """Read a file as `run` would. Status 2 and one line when a key is wrong.
+
+    Example: beaconhinge config check deploy/edge.toml
+    """
+    from ..config import ConfigError, load
+
+    try:
+        if file.suffix == ".json":
+            load({"RELAY_CONFIG": str(file)})
+        else:
+            from ..config.ours import read
+
+            ours = read(file)
+            if ours.platform.config:
+                load({"RELAY_CONFIG": ours.platform.config})
+    except ConfigError as error:
+        if as_json:
+            print(json.dumps({"file": str(file), "well": False, "error": str(error)}))
+            return 2
+        raise
+    print(json.dumps({"file": str(file), "well": True}) if as_json else f"{file}: well")
+    return 0
+
+
+@app.command()
+def show(file: Annotated[Path | None, typer.Argument(exists=True, dir_okay=False)] = None,
+         defaults: Annotated[bool, typer.Option("--defaults", help="Every key with its default.")] = False,
+         as_json: AsJson = False) -> int:
+    """Print every key of our TOML with its value, defaults filled in.
+
+    Examples: beaconhinge config show --defaults; beaconhinge config show deploy/edge.toml --json
+    """
+    import tomli_w
+
+    from ..config.ours import Ours, read, tables
+
+    if (file is None) != defaults:
+        raise typer.BadParameter("name a file, or say --defaults")
+    shown = tables(Ours() if file is None else read(file))
+    sys.stdout.write(json.dumps(shown, indent=1) + "\n" if as_json else tomli_w.dumps(shown))
+    return 0
--- /dev/null
+++ b/beaconhinge/standin/http.py
@@ -0,0 +1,106 @@
+"""Servers and calls for the stand-ins, on the dispatcher's own codec of messages."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+from collections.abc import Awaitable, Callable
+
+from ..net.http1 import BadMessage, Closed, Connection, Message
+from ..net.sockets import connect
+
+Answer = Callable[[Message], Awaitable[bytes | None]]
+
+
+class Server:
+    """Answers each message by a script; None from it ends the connection without a word."""
+
+    def __init__(self, answer: Answer) -> None:
+        self.answer = answer
+        self.tasks: set[asyncio.Task[None]] = set()
+        self._listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._listener.setblocking(False)
+        self._listener.bind(("127.0.0.1", 0))
+        self._listener.listen(256)
+        self.port: int = self._listener.getsockname()[1]
+
+    @property
+    def address(self) -> str:
+        return f"127.0.0.1:{self.port}"
+
+    def start(self) -> None:
+        self.spawn(self._accept())
+
+    def spawn(self, work: Awaitable[None]) -> asyncio.Task[None]:
+        task = asyncio.ensure_future(work)
+        assert isinstance(task, asyncio.Task)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        return task
+
+    async def _accept(self) -> None:
+        while True:
+            sock, _ = await asyncio.get_running_loop().sock_accept(self._listener)
+            sock.setblocking(False)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            self.spawn(self._serve(Connection(sock, True, lambda: None)))
+
+    async def _serve(self, connection: Connection) -> None:
+        try:
+            while True:
+                message = await connection.next()
+                answer = await self.answer(message)
+                if answer is None:
+                    return
+                await connection.send(answer)
+                if not message.keep_alive:
+                    return
+        except (Closed, BadMessage, OSError):
+            pass
+        finally:
+            connection.close()
+
+    async def stop(self) -> None:
+        self._listener.close()
+        for task in list(self.tasks):
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+
+class Caller:
+    """Calls to one address over connections that are kept, one request at a time on each."""
+
+    def __init__(self, port: int) -> None:
+        self.port = port
+        self._idle: list[Connection] = []
+
+    async def call(self, data: bytes, fresh: bool = False) -> Message:
+        """The answer. Raises OSError or Closed; nothing is sent again from here."""
+        kept = None if fresh else self._take()
+        connection = kept or Connection(await connect(("127.0.0.1", self.port)), False, lambda: None)
+        try:
+            await connection.send(data)
+            message = await connection.next()
+        except BaseException:
+            connection.close()
+            raise
+        if message.keep_alive and not fresh:
+            self._idle.append(connection)
+        else:
+            connection.close()
+        return message
+
+    def _take(self) -> Connection | None:
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.silent():
+                return connection
+            connection.close()
+        return None
+
+    def close(self) -> None:
+        with contextlib.suppress(IndexError):
+            while True:
+                self._idle.pop().close()
--- /dev/null
+++ b/beaconhinge/standin/scene.py
@@ -0,0 +1,173 @@
+"""A dispatcher as a process of its own, among stand-in discovery, boxes and clients on free loopback ports.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import signal
+import socket
+import sys
+import tempfile
+from collections.abc import AsyncIterator, Mapping
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from ..errors import Error
+from ..net import http1
+from ..net.http1 import Closed
+from .boxes import Box
+from .clients import Clients, Kind
+from .discovery import Discovery
+from .http import Caller
+
+KINDS = (Kind("render", 0.9, 7500), Kind("publish", 0.1, 25000, keyed=True))
+MEANS = {"render": 0.15, "publish": 1.5}
+TENANTS = (("north", 0.54), ("south", 0.29), ("east", 0.17))
+SETTINGS: dict[str, Any] = {
+    "membershipMode": "on_request", "dcs": ["a", "b"], "kinds": ["plain"], "zone": 0,
+    "requestClasses": [
+        {"name": "render", "aim": 0.5, "hardLimit": 7.5, "semantics": "retryable"},
+        {"name": "publish", "aim": 2.0, "hardLimit": 25.0, "semantics": "dedup", "group": "cell",
+         "dedupWindow": 40.0}],
+    "orgs": [{"name": name, "share": share, "quotaRps": 0.0} for name, share in TENANTS],
+    "familyInfo": {"classKind": [-1, -1], "classStretch": [2.0, 2.0], "progress": 1.0, "tellsStart": True},
+    "policyLimits": {"cancel": True, "retryAfter": True, "maxRetryAfter": 2.0, "mayDuplicate": True,
+                     "idleClose": 5.0, "mostHeld": 2000},
+}
+START = 10.0  # seconds that a dispatcher may take to be up
+
+
+class SceneError(Error):
+    """The dispatcher did not start, or did not end as it should."""
+
+
+class Figures(msgspec.Struct):
+    """What a run came to. `missing`: requests that never got their one final answer."""
+
+    seconds: float
+    asked: int
+    served: int
+    refused: int
+    failed: int
+    missing: int
+    other: int
+    median_ms: float
+    p99_ms: float
+    jobs_run: int
+    exit_status: int
+
+    @property
+    def well(self) -> bool:
+        """Each request got one final answer, and the dispatcher ended in order."""
+        return not self.missing and not self.other and self.exit_status == 0 and self.asked > 0
+
+
+def free_port() -> int:
+    with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as sock:
+        sock.bind(("127.0.0.1", 0))
+        return int(sock.getsockname()[1])
+
+
+class Scene:
+    def __init__(self, boxes: int, rate: float, seed: int, folder: Path) -> None:
+        self.port = free_port()
+        self.folder = folder
+        names = [f"s-{seed:04x}{number:04x}" for number in range(boxes)]
+        self.boxes = [Box(name, self.port, MEANS, seed=seed) for name in names]
+        entries = [box.entry("ab"[i % 2], "plain", i % 3) for i, box in enumerate(self.boxes)]
+        self.discovery = Discovery(entries)
+        self.clients = Clients(self.port, KINDS, TENANTS, rate, seed)
+        self.counters: dict[str, int] = {}  # of the dispatcher, as last told
+        self.lines: list[Mapping[str, Any]] = []  # its log
+        self.process: asyncio.subprocess.Process
+
+    def write_configuration(self) -> Path:
+        known = self.discovery.whole()
+        (self.folder / "balancer.json").write_text(json.dumps({
+            "name": "demo", "listen": f"127.0.0.1:{self.port}", "discovery": self.discovery.server.address,
+            "seed": 1, "settings": SETTINGS, "known": known}))
+        ours = self.folder / "edge.toml"
+        ours.write_text('[platform]\nconfig = "balancer.json"\n\n[log]\nformat = "json"\n\n'
+                        '[store]\nfolder = "store"\n')
+        return ours
+
+    async def start(self) -> None:
+        """Raises SceneError."""
+        for server in (self.discovery.server, *(box.server for box in self.boxes)):
+            server.start()
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "beaconhinge", stderr=asyncio.subprocess.PIPE,
+            env={**os.environ, "BEACONHINGE_CONFIG": str(self.write_configuration())})
+        self.discovery.server.spawn(self._read_log())
+        caller = Caller(self.port)
+        try:
+            async with asyncio.timeout(START):
+                while True:
+                    with contextlib.suppress(OSError, Closed):
+                        answer = await caller.call(http1.request("GET", b"/up", {"Host": "x"}), True)
+                        if answer.status == 200:
+                            return
+                    if self.process.returncode is not None:
+                        raise SceneError(f"the dispatcher ended with status {self.process.returncode}: "
+                                         f"{self.lines[-1:]}")
+                    await asyncio.sleep(0.02)
+        except TimeoutError:
+            raise SceneError(f"the dispatcher was not up after {START:g} s") from None
+
+    async def _read_log(self) -> None:
+        assert self.process.stderr is not None
+        async for line in self.process.stderr:
+            try:
+                told = json.loads(line)
+            except ValueError:
+                told = {"event": "unread", "text": line.decode("utf-8", "replace").strip()}
+            self.lines.append(told)
+            if told["event"] == "counters":
+                self.counters = {name: n for name, n in told.items() if isinstance(n, int)}
+
+    def ask_for_counters(self) -> None:
+        if self.process.returncode is None:
+            self.process.send_signal(signal.SIGUSR1)
+
+    async def stop(self) -> int:
+        """End the dispatcher in order, and all the rest; its exit status."""
+        if self.process.returncode is None:
+            self.process.send_signal(signal.SIGTERM)
+            try:
+                async with asyncio.timeout(10):
+                    await self.process.wait()
+            except TimeoutError:
+                self.process.kill()
+                await self.process.wait()
+        for server in (self.discovery.server, *(box.server for box in self.boxes)):
+            await server.stop()
+        for box in self.boxes:
+            box.dispatcher.close()
+        assert self.process.returncode is not None
+        return self.process.returncode
+
+    def figures(self, seconds: float, exit_status: int) -> Figures:
+        answers, waits = self.clients.answers, sorted(self.clients.waits) or [0.0]
+        known = {name: answers[name] for name in ("200", "503", "502", "missing")}
+        return Figures(
+            seconds, self.clients.asked, known["200"], known["503"], known["502"], known["missing"],
+            answers.total() - sum(known.values()), 1000 * waits[len(waits) // 2],
+            1000 * waits[int(0.99 * len(waits))], sum(box.runs.total() for box in self.boxes), exit_status)
+
+
+@contextlib.asynccontextmanager
+async def scene(boxes: int, rate: float, seed: int) -> AsyncIterator[Scene]:
+    """A scene that is up. Its folder goes with it."""
+    with tempfile.TemporaryDirectory(prefix="beaconhinge-") as folder:
+        made = Scene(boxes, rate, seed, Path(folder))
+        try:
+            await made.start()
+            yield made
+        finally:
+            if hasattr(made, "process"):
+                await made.stop()
--- a/beaconhinge/store/options.py
+++ b/beaconhinge/store/options.py
@@ -24,7 +24,7 @@
 
     def problem(self) -> tuple[str, str] | None:
         """The first key that makes no sense, and why."""
-        for name in self.__struct_fields__:
+        for name in Options.__struct_fields__:  # a table of configuration has more
             if not getattr(self, name) > 0:
                 return name, "must be more than 0"
         if self.max_key_bytes > MAX_KEY:
--- /dev/null
+++ b/tests/cli/test_cli.py
@@ -0,0 +1,162 @@
+"""The command line: what it prints, its exit status, and one line for whatever is wrong."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import subprocess
+import sys
+import tomllib
+from pathlib import Path
+
+import pytest
+
+from beaconhinge.cli import main
+from beaconhinge.config import ConfigError
+from beaconhinge.config.ours import convert, read
+from beaconhinge.store import Delete, Options, Put, Store, codec
+
+ROOT = Path(__file__).resolve().parents[2]
+
+
+def filled(folder: Path, keys: int = 40) -> Path:
+    async def fill() -> None:
+        store = Store.open(folder, Options(segment_bytes=1500, compact_dead_share=1.0))
+        for number in range(keys):
+            await store.commit([Put(b"k%02d" % (number % 30), b"v" * 100)])
+        await store.commit([Delete(b"k00")])
+        await store.close()
+
+    asyncio.run(fill())
+    return folder
+
+
+def told(capsys: pytest.CaptureFixture[str], *arguments: str) -> tuple[int, str, str]:
+    status = main(list(arguments))
+    out, err = capsys.readouterr()
+    return status, out, err
+
+
+def test_wrong_use_ends_with_status_2_and_one_line(capsys: pytest.CaptureFixture[str], tmp_path: Path) -> None:
+    for arguments in (["sto"], ["store", "verify"], ["store", "verify", "/not/there"], ["demo", "--seconds", "x"],
+                      ["config", "show"], ["run"], ["store", "repair", str(tmp_path), str(ROOT)]):
+        status, out, err = told(capsys, *arguments)
+        assert (status, out) == (2, "") and err.startswith("beaconhinge: ") and err.count("\n") == 1, arguments
+
+
+def test_help_has_examples(capsys: pytest.CaptureFixture[str]) -> None:
+    for arguments in (["store", "stat"], ["store", "repair"], ["config", "check"], ["demo"], ["run"]):
+        status, out, _ = told(capsys, *arguments, "--help")
+        assert status == 0 and f"beaconhinge {' '.join(arguments)}" in out and "Example" in out
+
+
+def test_what_cannot_be_done_ends_with_status_1(capsys: pytest.CaptureFixture[str], tmp_path: Path) -> None:
+    status, _, err = told(capsys, "store", "stat", str(tmp_path))
+    assert status == 1 and "no store is in this folder" in err and err.count("\n") == 1
+    assert list(tmp_path.iterdir()) == []
+    store = Store.open(tmp_path / "s")
+    try:
+        for command in (["stat", str(tmp_path / "s")], ["repair", str(tmp_path / "s"), str(tmp_path / "new")]):
+            status, _, err = told(capsys, "store", *command)
+            assert status == 1 and "another process" in err
+    finally:
+        store.shut()
+
+
+def test_stat_dump_and_compact(capsys: pytest.CaptureFixture[str], tmp_path: Path) -> None:
+    folder = str(filled(tmp_path / "s"))
+    status, out, _ = told(capsys, "store", "stat", folder, "--json")
+    figures = json.loads(out)
+    assert status == 0 and figures["keys"] == 29 and figures["segments"] > 2
+    status, out, _ = told(capsys, "store", "dump", folder, "--prefix", "k1", "--json", "--values")
+    lines = [json.loads(line) for line in out.splitlines()]
+    assert [line["key"] for line in lines] == [f"k{n}" for n in range(10, 20)]
+    assert lines[0]["hex"] == "76" * 100
+    status, out, _ = told(capsys, "store", "compact", folder, "--json")
+    done = json.loads(out)
+    assert status == 0 and done["bytes_after"] < done["bytes_before"] and done["keys"] == 29
+    assert told(capsys, "store", "verify", folder)[0] == 0
+
+
+def test_verify_finds_damage_with_status_3_and_repair_salvages_the_rest(
+        capsys: pytest.CaptureFixture[str], tmp_path: Path) -> None:
+    folder = filled(tmp_path / "s")
+    segment = folder / codec.segment_name(2)
+    data = bytearray(segment.read_bytes())
+    data[200] ^= 4
+    segment.write_bytes(data)
+    status, out, _ = told(capsys, "store", "verify", str(folder))
+    assert status == 3 and f"damage: {segment.name} at byte" in out
+    status, out, _ = told(capsys, "store", "verify", str(folder), "--json")
+    assert status == 3 and json.loads(out)["well"] is False
+    before = {path.name: path.read_bytes() for path in folder.iterdir()}
+    status, out, _ = told(capsys, "store", "repair", str(folder), str(tmp_path / "new"), "--json")
+    found = json.loads(out)
+    assert status == 0 and found["keys"] >= 28 and [one["file"] for one in found["lost"]] == [segment.name]
+    assert before == {path.name: path.read_bytes() for path in folder.iterdir()}
+    assert told(capsys, "store", "verify", str(tmp_path / "new"))[0] == 0
+    (folder / "MANIFEST").write_bytes(b"x")
+    assert told(capsys, "store", "verify", str(folder))[0] == 3
+
+
+def test_bench_measures_here(capsys: pytest.CaptureFixture[str], tmp_path: Path) -> None:
+    status, out, _ = told(capsys, "store", "bench", str(tmp_path), "--commits", "20", "--writers", "4", "--json")
+    assert status == 0 and json.loads(out)["one_writer_per_s"] > 0 and list(tmp_path.iterdir()) == []
+
+
+# ---- configuration ---------------------------------------------------------------------------------------
+
+
+def test_the_deployed_file_shows_every_key_with_its_default(capsys: pytest.CaptureFixture[str]) -> None:
+    status, out, _ = told(capsys, "config", "show", "--defaults")
+    assert status == 0 and tomllib.loads(out) == tomllib.loads((ROOT / "deploy" / "edge.toml").read_text())
+    assert told(capsys, "config", "check", str(ROOT / "deploy" / "edge.toml"))[0] == 0
+
+
+@pytest.mark.parametrize(("text", "says"), [
+    ("[stroe]\n", "stroe: no such key; did you mean store?"),
+    ("[store]\nsegment_byte = 4\n", "store.segment_byte: no such key; did you mean store.segment_bytes?"),
+    ("[store]\nqqq = 4\n", "store.qqq: no such key"),
+    ('[store]\nsegment_bytes = "many"\n', "store.segment_bytes: Expected `int`, got `str`"),
+    ("[store]\nsegment_bytes = 0\n", "store.segment_bytes: must be more than 0"),
+    ("store = 4\n", "store: Expected `object`, got `int`"),
+    ('[log]\nformat = "xml"\n', "log.format: Invalid enum value 'xml'"),
+    ("[books]\ninterval_s = -1.0\n", "books.interval_s: must be a number of seconds, more than 0"),
+    ("[books]\ninterval_s = nan\n", "books.interval_s: must be a number"),
+    ("[store\n", "line 1")])
+def test_a_faulty_key_is_named_in_one_line(text: str, says: str, capsys: pytest.CaptureFixture[str],
+                                           tmp_path: Path) -> None:
+    file = tmp_path / "edge.toml"
+    file.write_text(text)
+    status, out, err = told(capsys, "config", "check", str(file))
+    assert (status, out) == (2, "") and err.count("\n") == 1
+    assert err.startswith(f"beaconhinge: {file}: ") and says in err
+    status, out, _ = told(capsys, "config", "check", str(file), "--json")
+    assert status == 2 and json.loads(out)["well"] is False
+
+
+def test_paths_count_from_the_files_folder(tmp_path: Path) -> None:
+    file = tmp_path / "edge.toml"
+    file.write_text('[store]\nfolder = "data"\n[platform]\nconfig = "/etc/balancer.json"\n')
+    ours = read(file)
+    assert ours.store.folder == str(tmp_path / "data") and ours.platform.config == "/etc/balancer.json"
+    with pytest.raises(ConfigError, match="not there"):
+        read(tmp_path / "not there")
+    assert convert({}, "x").store.folder == ""
+
+
+def test_the_platforms_json_is_checked_as_well(capsys: pytest.CaptureFixture[str], tmp_path: Path) -> None:
+    file = tmp_path / "balancer.json"
+    file.write_text('{"settings": {}}')
+    status, _, err = told(capsys, "config", "check", str(file))
+    assert status == 2 and "requestClasses.count" in err
+    (tmp_path / "edge.toml").write_text('[platform]\nconfig = "balancer.json"\n')
+    assert "requestClasses.count" in told(capsys, "config", "check", str(tmp_path / "edge.toml"))[2]
+
+
+def test_the_platforms_start_loads_no_library_of_the_extras() -> None:
+    code = ("import sys, beaconhinge.__main__; "
+            "print(sorted({'typer', 'rich', 'structlog', 'msgspec', 'sortedcontainers', 'google_crc32c', "
+            "'beaconhinge.store', 'beaconhinge.cli', 'beaconhinge.books'} & set(sys.modules)))")
+    done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True, cwd=ROOT)
+    assert done.stdout.strip() == "[]"
--- /dev/null
+++ b/tests/test_logs.py
@@ -0,0 +1,59 @@
+"""Log lines in each form carry the same events and fields, and no peer's bytes make up lines of their own."""
+
+from __future__ import annotations
+
+import io
+import json
+from collections.abc import Callable
+from typing import Any, Literal
+
+import pytest
+
+from beaconhinge.logs import writer
+from beaconhinge.stats import Stats
+
+
+def lines(form: Literal["logfmt", "json"], act: Callable[[Stats], Any]) -> list[str]:
+    sink = io.StringIO()
+    act(Stats(lambda: 12.5, writer=writer(form, sink, lambda: 12.5)))
+    return sink.getvalue().splitlines()
+
+
+def test_json_lines_hold_time_event_and_fields() -> None:
+    [line] = lines("json", lambda s: s.log("started", name="n0", workers=3, load=0.12345, up=True))
+    assert json.loads(line) == {"time": 12.5, "event": "started", "name": "n0", "workers": 3, "load": 0.123,
+                                "up": True}
+
+
+def test_logfmt_lines_begin_with_time_and_event() -> None:
+    [line] = lines("logfmt", lambda s: s.log("stopping", why="a b", owed=2))
+    assert line == 'time=12.5 event=stopping why="a b" owed=2'
+
+
+@pytest.mark.parametrize("form", ["logfmt", "json"])
+def test_values_are_bounded_and_forge_nothing(form: Literal["logfmt", "json"]) -> None:
+    evil = 'x\nevent=stopped time=1 "' + "\x00é" + "y" * 5000
+    [line] = lines(form, lambda s: s.complain("client_message_malformed", why=evil))
+    assert len(line) < 600 and line.isascii()
+    if form == "json":
+        told = json.loads(line)
+        assert told["event"] == "client_message_malformed" and told["total"] == 1
+
+
+@pytest.mark.parametrize("form", ["logfmt", "json"])
+def test_complaints_are_limited_and_counted_in_each_form(form: Literal["logfmt", "json"]) -> None:
+    def act(stats: Stats) -> None:
+        for _ in range(5):
+            stats.complain("sockets_short", worker="w")
+
+    assert len(lines(form, act)) == 1
+
+
+def test_a_log_that_nobody_reads_any_more_ends_nothing() -> None:
+    class Broken(io.StringIO):
+        def write(self, text: str) -> int:
+            raise BrokenPipeError
+
+    stats = Stats(lambda: 1.0, writer=writer("json", Broken(), lambda: 1.0))
+    stats.log("started")
+    assert stats.counters["log_lost"] == 1
