--- /dev/null
+++ b/benchmarks/store.py
@@ -0,0 +1,298 @@
+"""The store beside SQLite, LMDB and bare append with fdatasync, in one run: `python benchmarks/store.py
+[FILE]`.
+
+Prints a table and writes the same figures as JSON. Everything lies in one temporary folder of the current
+one, so that the same disk is measured. Rounds alternate, and ratios are taken round by round; their medians
+are quoted.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import gc
+import json
+import os
+import platform
+import resource
+import sqlite3
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+from collections.abc import Callable
+from pathlib import Path
+from statistics import median
+from typing import Any
+
+import lmdb
+import uvloop
+from rich.console import Console
+from rich.table import Table
+
+from beaconhinge.store import Options, Put, Store
+from beaconhinge.store.bench import bare_appends, store_commits
+from beaconhinge.store.codec import index_name
+
+VALUE = os.urandom(200)
+ROUNDS = 5
+
+
+def key(number: int) -> bytes:
+    return b"%016d" % number
+
+
+# ---- the others ------------------------------------------------------------------------------------------
+
+
+def sqlite_open(file: Path) -> sqlite3.Connection:
+    base = sqlite3.connect(file, isolation_level=None, timeout=60)
+    base.execute("PRAGMA journal_mode=WAL")
+    base.execute("PRAGMA synchronous=FULL")
+    base.execute("CREATE TABLE IF NOT EXISTS t (k BLOB PRIMARY KEY, v BLOB) WITHOUT ROWID")
+    return base
+
+
+def sqlite_commits(file: Path, count: int, writers: int) -> float:
+    sqlite_open(file).close()
+
+    def write(writer: int) -> None:
+        base = sqlite_open(file)
+        for number in range(count // writers):
+            base.execute("INSERT OR REPLACE INTO t VALUES (?, ?)", (b"%08d%08d" % (writer, number), VALUE))
+        base.close()
+
+    return _threads(write, writers, count)
+
+
+def lmdb_open(file: Path) -> Any:
+    return lmdb.open(str(file), map_size=1 << 32, max_readers=512)
+
+
+def lmdb_commits(file: Path, count: int, writers: int) -> float:
+    base = lmdb_open(file)
+
+    def write(writer: int) -> None:
+        for number in range(count // writers):
+            with base.begin(write=True) as transaction:
+                transaction.put(b"%08d%08d" % (writer, number), VALUE)
+
+    rate = _threads(write, writers, count)
+    base.close()
+    return rate
+
+
+def _threads(write: Callable[[int], None], writers: int, count: int) -> float:
+    threads = [threading.Thread(target=write, args=(writer,)) for writer in range(writers)]
+    begun = time.perf_counter()
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    return count // writers * writers / (time.perf_counter() - begun)
+
+
+def sqlite_through_a_thread(file: Path, count: int) -> float:
+    """SQLite as an event loop would have to call it: each commit on another thread, awaited."""
+    base = sqlite3.connect(file, isolation_level=None, check_same_thread=False)
+    sqlite_open(file).close()
+    base.execute("PRAGMA synchronous=FULL")
+
+    async def write() -> float:
+        begun = time.perf_counter()
+        for number in range(count):
+            row = key(number), VALUE
+            await asyncio.to_thread(base.execute, "INSERT OR REPLACE INTO t VALUES (?, ?)", row)
+        return count / (time.perf_counter() - begun)
+
+    rate = uvloop.run(write())
+    base.close()
+    return rate
+
+
+# ---- figures ---------------------------------------------------------------------------------------------
+
+
+def commits(folder: Path, count: int) -> dict[str, Any]:
+    rounds: dict[str, list[float]] = {}
+    for number in range(ROUNDS):
+        place = folder / f"commits{number}"
+        place.mkdir()
+        runs: dict[str, Callable[[], float]] = {
+            "bare append + fdatasync": lambda p=place: bare_appends(p / "bare", count),  # type: ignore[misc]
+            "store, 1 writer": lambda p=place: uvloop.run(store_commits(p / "s1", count, 1)),  # type: ignore[misc]
+            "SQLite, 1 writer": lambda p=place: sqlite_commits(p / "q1", count, 1),  # type: ignore[misc]
+            "SQLite by a thread, 1 writer":
+                lambda p=place: sqlite_through_a_thread(p / "qt", count),  # type: ignore[misc]
+            "LMDB, 1 writer": lambda p=place: lmdb_commits(p / "l1", count, 1),  # type: ignore[misc]
+            "store, 64 writers":
+                lambda p=place: uvloop.run(store_commits(p / "s64", 8 * count, 64)),  # type: ignore[misc]
+            "SQLite, 64 writers": lambda p=place: sqlite_commits(p / "q64", count, 64),  # type: ignore[misc]
+            "LMDB, 64 writers": lambda p=place: lmdb_commits(p / "l64", count, 64),  # type: ignore[misc]
+        }
+        for name, run in runs.items():
+            rounds.setdefault(name, []).append(run())
+
+    def ratio(a: str, b: str) -> float:
+        return median(x / y for x, y in zip(rounds[a], rounds[b], strict=True))
+
+    return {
+        **{f"{name}, commits a second": round(median(rates)) for name, rates in rounds.items()},
+        "1 writer of bare append (aim 0.6)": ratio("store, 1 writer", "bare append + fdatasync"),
+        "1 writer of SQLite's (aim over 1)": ratio("store, 1 writer", "SQLite, 1 writer"),
+        "1 writer of SQLite's by a thread": ratio("store, 1 writer", "SQLite by a thread, 1 writer"),
+        "64 writers of SQLite's 64 (aim 10)": ratio("store, 64 writers", "SQLite, 64 writers"),
+        "64 writers of SQLite's one (aim 10)": ratio("store, 64 writers", "SQLite, 1 writer"),
+        "64 writers of LMDB's 64": ratio("store, 64 writers", "LMDB, 64 writers"),
+    }
+
+
+def reads(folder: Path, count: int) -> dict[str, Any]:
+    """Reads of present keys in a random-looking order, in microseconds each."""
+    order = [key(number * 7919 % count) for number in range(count)]
+
+    async def fill() -> Store:
+        store = Store.open(folder / "reads")
+        for at in range(0, count, 1000):
+            await store.commit([Put(key(number), VALUE) for number in range(at, at + 1000)])
+        return store
+
+    store = asyncio.run(fill())
+    base = sqlite_open(folder / "reads.db")
+    base.execute("BEGIN")
+    base.executemany("INSERT INTO t VALUES (?, ?)", ((key(number), VALUE) for number in range(count)))
+    base.execute("COMMIT")
+    other = lmdb_open(folder / "reads.lmdb")
+    with other.begin(write=True) as transaction:
+        for number in range(count):
+            transaction.put(key(number), VALUE)
+    rounds: dict[str, list[float]] = {}
+
+    def from_sqlite(wanted: bytes) -> bytes:
+        value: bytes = base.execute("SELECT v FROM t WHERE k = ?", (wanted,)).fetchone()[0]
+        return value
+
+    for _ in range(ROUNDS):
+        for name, get in (("store", store.get), ("SQLite", from_sqlite)):
+            begun = time.perf_counter()
+            for wanted in order:
+                assert get(wanted)
+            rounds.setdefault(name, []).append((time.perf_counter() - begun) / count * 1e6)
+        with other.begin() as transaction:
+            begun = time.perf_counter()
+            for wanted in order:
+                assert transaction.get(wanted)
+            rounds.setdefault("LMDB", []).append((time.perf_counter() - begun) / count * 1e6)
+    store.shut()
+    return {**{f"read, {name}, us": median(times) for name, times in rounds.items()},
+            "reads a second of SQLite's (aim 2)": median(
+                b / a for a, b in zip(rounds["store"], rounds["SQLite"], strict=True))}
+
+
+RECOVER = """
+import resource, sys, time
+from beaconhinge.store import Store
+before = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+begun = time.perf_counter()
+store = Store.open(sys.argv[1])
+passed = time.perf_counter() - begun
+import gc; gc.collect()
+with open("/proc/self/statm") as f: now = int(f.read().split()[1]) * resource.getpagesize()
+print(passed, len(store), now - before * 1024)
+store.shut()
+"""
+
+
+def recover(folder: Path) -> tuple[float, int, int]:
+    command = [sys.executable, "-c", RECOVER, str(folder)]
+    done = subprocess.run(command, capture_output=True, text=True, check=True)
+    passed, keys, memory = done.stdout.split()
+    return float(passed), int(keys), int(memory)
+
+
+def recovery(folder: Path, sizes: list[int]) -> dict[str, Any]:
+    """Start with and without index files, memory a key, and the cost of a commit, by the number of keys."""
+    figures: dict[str, Any] = {}
+
+    async def fill(place: Path, count: int) -> float:
+        store = Store.open(place)
+        for at in range(0, count, 1000):
+            await store.commit([Put(key(number), VALUE) for number in range(at, at + 1000)])
+        begun = time.perf_counter()
+        for number in range(1000):
+            await store.commit([Put(key(number), VALUE)])
+        passed = time.perf_counter() - begun
+        await store.close()
+        return passed / 1000
+
+    for count in sizes:
+        place = folder / f"recovery{count}"
+        figures[f"{count:,} keys: a commit, us"] = uvloop.run(fill(place, count)) * 1e6
+        gc.collect()
+        seconds, keys, memory = min(recover(place) for _ in range(3))
+        assert keys == count
+        figures[f"{count:,} keys: start with index files, s"] = seconds
+        figures[f"{count:,} keys: memory a key, bytes"] = memory / count
+        for file in [place / index_name(number) for number in range(1, 1000)]:
+            file.unlink(missing_ok=True)
+        figures[f"{count:,} keys: start without, s"] = recover(place)[0]
+    return figures
+
+
+def cleaning(folder: Path, count: int) -> dict[str, Any]:
+    """p99 of a commit while old segments are cleaned, and while none are."""
+    async def run(name: str, dead_share: float) -> tuple[list[float], int]:
+        options = Options(segment_bytes=2 * 1024 * 1024, compact_dead_share=dead_share)
+        store = Store.open(folder / name, options)
+        for at in range(0, 40_000, 1000):
+            await store.commit([Put(key(number), VALUE) for number in range(at, at + 1000)])
+        waits = []
+        for number in range(count):
+            changes = [Put(key(number * 97 % 40_000 + i), VALUE) for i in range(10)]
+            begun = time.perf_counter()
+            await store.commit(changes)
+            waits.append(time.perf_counter() - begun)
+        cleaned = int(store.stats().get("store_segments_cleaned", 0))
+        await store.close()
+        return sorted(waits), cleaned
+
+    ratios, rows = [], []
+    for number in range(3):
+        still, none = uvloop.run(run(f"still{number}", 1.0))
+        busy, cleaned = uvloop.run(run(f"busy{number}", 0.2))
+        rows.append((still[int(0.99 * count)], busy[int(0.99 * count)], cleaned, none))
+        ratios.append(rows[-1][1] / rows[-1][0])
+    return {"commit p99 without cleaning, us": median(r[0] for r in rows) * 1e6,
+            "commit p99 while cleaning, us": median(r[1] for r in rows) * 1e6,
+            "segments cleaned meanwhile": median(r[2] for r in rows),
+            "p99 while cleaning of that without (aim 3)": median(ratios)}
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("file", nargs="?", type=Path, default=Path("build/benchmarks/store.json"))
+    parser.add_argument("--commits", type=int, default=3000)
+    parser.add_argument("--keys", type=int, default=1_000_000)
+    told = parser.parse_args()
+    figures: dict[str, Any] = {"machine": f"{platform.machine()}, {os.cpu_count()} cores, "
+                               f"Python {platform.python_version()}, {platform.system()} {platform.release()}"}
+    sizes = [size for size in (10_000, 100_000, 1_000_000) if size <= told.keys]
+    with tempfile.TemporaryDirectory(prefix="bench-", dir=".") as place:
+        folder = Path(place)
+        figures |= commits(folder, told.commits)
+        figures |= reads(folder, min(100_000, told.keys))
+        figures |= recovery(folder, sizes)
+        figures |= cleaning(folder, 4000)
+    figures["peak memory of this run, MB"] = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024
+    table = Table("figure", "value")
+    for name, value in figures.items():
+        form = ",.3f" if isinstance(value, float) else "," if isinstance(value, int) else ""
+        table.add_row(name, format(value, form))
+    Console(width=110).print(table)
+    told.file.parent.mkdir(parents=True, exist_ok=True)
+    told.file.write_text(json.dumps(figures, indent=1) + "\n")
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/store/explore.py
+++ b/tests/store/explore.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import argparse
 import random
 from collections.abc import Callable, Iterator
 from typing import Any
@@ -167,3 +168,11 @@
         check(left, states, told, count % again_every == 0)
         count += 1
     return count
+
+
+if __name__ == "__main__":
+    parser = argparse.ArgumentParser(description="Cut one history of the store wherever it can be cut.")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--groups", type=int, default=16)
+    asked = parser.parse_args()
+    print(every_cut(asked.seed, asked.groups), "cuts, all well")
