--- a/beaconhinge/store/scan.py
+++ b/beaconhinge/store/scan.py
@@ -20,7 +20,10 @@
 
 @dataclass(slots=True)
 class Scan:
-    """What one segment holds. `end` is where its last whole batch ends, `torn` the bytes after that."""
+    """What one segment holds, without the values.
+
+    `end` is where its last whole batch ends, `torn` counts the bytes after that.
+    """
 
     frames: list[Frame] = field(default_factory=list)
     end: int = HEADER_BYTES
@@ -65,6 +68,7 @@
             raise StoreCorrupt(file, frame.offset, f"batch {frame.batch} after batch {result.last_batch}")
         if frame.group > frame.offset:
             raise StoreCorrupt(file, frame.offset, "its group begins after it")
+        frame.value = b""  # a start with a full segment once took three times the memory for these
         held.append(frame)
         offset = frame.offset + frame.size
         if frame.last:
