Tell unreadable bytes from damaged ones in the store; one read fails, not the store

Need: an I/O error of a read came out as a bare OSError, and in the cleaning made the store read-only.

StoreUnreadable names file and byte; a test lets the simulated disk refuse a segment.

--- a/beaconhinge/store/__init__.py
+++ b/beaconhinge/store/__init__.py
@@ -17,6 +17,7 @@
     StoreFull,
     StoreLocked,
     StoreTooLarge,
+    StoreUnreadable,
     StoreVersion,
 )
 from .options import Options
@@ -24,5 +25,5 @@
 
 __all__ = [
     "Change", "Delete", "Options", "Put", "Store", "StoreClosed", "StoreCorrupt", "StoreError", "StoreFailed",
-    "StoreFull", "StoreLocked", "StoreTooLarge", "StoreVersion",
+    "StoreFull", "StoreLocked", "StoreTooLarge", "StoreUnreadable", "StoreVersion",
 ]
--- a/beaconhinge/store/engine.py
+++ b/beaconhinge/store/engine.py
@@ -15,7 +15,7 @@
 from .codec import DELETE, HEADER_BYTES, MANIFEST, PUT, Change, Manifest, Put
 from .compaction import Sealed, choose
 from .disk import Disk, File, read_whole, replace, size_of, write_all
-from .errors import StoreCorrupt, StoreFailed, StoreFull, StoreTooLarge
+from .errors import StoreCorrupt, StoreFailed, StoreFull, StoreTooLarge, StoreUnreadable
 from .index import Index, parts, place
 from .options import KEY_BYTES, Options
 
@@ -325,7 +325,7 @@
         whole: list[tuple[int, Sequence[Change]]] = []
         try:
             held = self._live(moves)
-        except StoreCorrupt:  # told where it was found; the commits of the group are none the worse for it
+        except (StoreCorrupt, StoreUnreadable):  # told where it was found; the commits of the group are none the worse for it
             held, result.moved = [], False
         if held:
             whole.append((-1, held))
@@ -451,24 +451,23 @@
     def records(self, segment: Segment, offset: int, limit: int) -> tuple[list[Placed], int]:
         """Records from `offset` on, of `limit` bytes about, that may be wanted still; and where to go on.
 
-        Raises StoreCorrupt for a frame that is not what was written.
+        Raises StoreCorrupt for a frame that is not what was written, StoreUnreadable.
         """
         oldest = next(iter(self.sealed)) == segment.number
         found: list[Placed] = []
         end = min(offset + limit, segment.size)
-        data = segment.file.read(offset, end - offset)
+        data = self._bytes(segment, offset, end - offset)
         at = offset
         while at < segment.size:
             frame = codec.decode_frame(data, at - offset, segment.salt, at)
             if frame is None:
-                if end < segment.size or at - offset + codec.FRAME_BYTES > len(data):
-                    if at > offset:
-                        break  # cut off by the limit
-                    if end < segment.size:  # larger than the limit by itself
-                        end = min(segment.size, offset + 2 * (end - offset) + self.options.max_value_bytes)
-                        data = segment.file.read(offset, end - offset)
-                        continue
-                raise self._corrupt(segment.name, at)
+                if end == segment.size:
+                    raise self._corrupt(segment.name, at)
+                if at > offset:  # cut off by the limit
+                    break
+                end = min(segment.size, offset + 2 * (end - offset) + self.options.max_value_bytes)
+                data = self._bytes(segment, offset, end - offset)  # a frame larger than the limit by itself
+                continue
             where = place(segment.number, at, frame.size)
             if frame.kind == DELETE:
                 if not oldest:
@@ -510,15 +509,23 @@
     # ---- reads ---------------------------------------------------------------------------------------------
 
     def read(self, where: int, key: bytes) -> bytes:
-        """The value at a place. Raises StoreCorrupt when it is not what was written."""
+        """The value at a place. Raises StoreCorrupt when it is not what was written, StoreUnreadable."""
         number, offset, size = parts(where)
         active = self.active
         segment = active if number == active.number else self.sealed[number]
-        value = codec.value_of(segment.file.read(offset, size), segment.salt, key)
+        value = codec.value_of(self._bytes(segment, offset, size), segment.salt, key)
         if value is None:
             raise self._corrupt(segment.name, offset)
         return value
 
+    def _bytes(self, segment: Segment, offset: int, size: int) -> bytes:
+        try:
+            return segment.file.read(offset, size)
+        except OSError as error:
+            self.counters["store_unreadable"] += 1
+            self.log("store_unreadable", file=segment.name, offset=offset, why=error)
+            raise StoreUnreadable(f"{segment.name} at byte {offset}: {error}") from None
+
     def _corrupt(self, name: str, offset: int) -> StoreCorrupt:
         self.counters["store_corrupt"] += 1
         self.log("store_corrupt", file=name, offset=offset)
--- a/beaconhinge/store/errors.py
+++ b/beaconhinge/store/errors.py
@@ -22,6 +22,10 @@
         self.reason = reason
 
 
+class StoreUnreadable(StoreError):
+    """The disk would not give bytes back. Nothing was changed; another read may succeed."""
+
+
 class StoreVersion(StoreError):
     """A file was written in a newer format than this program reads."""
 
--- a/beaconhinge/store/store.py
+++ b/beaconhinge/store/store.py
@@ -18,7 +18,7 @@
 from .compaction import Pace, haste
 from .disk import Disk, RealDisk
 from .engine import Engine, Placed, Segment, Written
-from .errors import StoreClosed, StoreCorrupt, StoreError, StoreFailed, StoreLocked
+from .errors import StoreClosed, StoreCorrupt, StoreError, StoreFailed, StoreLocked, StoreUnreadable
 from .options import Options
 
 T = TypeVar("T")
@@ -204,7 +204,7 @@
                     if segment.number in self.engine.sealed and not await self._clean(segment, True):
                         self._clean_after = self._now() + AGAIN_AFTER
                         return
-        except StoreCorrupt as error:  # told; what is well goes on, and that segment is left as it is
+        except (StoreCorrupt, StoreUnreadable) as error:  # told; what is well goes on, and that segment is left as it is
             self.engine.log("store_cleaning_stopped", why=error)
             self._clean_after = float("inf")
         except StoreError as error:
@@ -255,7 +255,7 @@
         """The value last committed, or None. Read from the file: a page that is in no cache costs a disk
         read.
 
-        Raises StoreCorrupt when the bytes are not what was written, StoreClosed.
+        Raises StoreCorrupt when the bytes are not what was written, StoreUnreadable, StoreClosed.
         """
         if self._closed:
             raise StoreClosed("the store is closed")
--- a/tests/store/test_trouble.py
+++ b/tests/store/test_trouble.py
@@ -20,6 +20,7 @@
     StoreFailed,
     StoreFull,
     StoreTooLarge,
+    StoreUnreadable,
     StoreVersion,
     codec,
     scan,
@@ -304,6 +305,21 @@
     assert content(engine(disk.fresh())) == want
 
 
+def test_bytes_that_the_disk_will_not_give_back_cost_that_read_alone() -> None:
+    disk = sealed()
+    store = engine(disk)
+    name = codec.segment_name(1)
+    disk.unreadable.add(name)
+    first = store.sealed[1]
+    for read in (lambda: content(store), lambda: store.records(first, HEADER_BYTES, 1000)):
+        with pytest.raises(StoreUnreadable, match=name):
+            read()
+    assert put(store, b"later", b"1") is None and store.failure is None
+    assert store.counters["store_unreadable"] == 2
+    disk.unreadable.clear()
+    assert len(content(store)) == 41
+
+
 def test_a_segment_with_wanted_values_is_never_dropped() -> None:
     store = engine(sealed())
     want = content(store)
