--- a/beaconhinge/store/engine.py
+++ b/beaconhinge/store/engine.py
@@ -325,7 +325,8 @@
         whole: list[tuple[int, Sequence[Change]]] = []
         try:
             held = self._live(moves)
-        except (StoreCorrupt, StoreUnreadable):  # told where it was found; the commits of the group are none the worse for it
+        except (StoreCorrupt, StoreUnreadable):
+            # Told where it was found; the commits of the group are none the worse for it.
             held, result.moved = [], False
         if held:
             whole.append((-1, held))
--- a/beaconhinge/store/store.py
+++ b/beaconhinge/store/store.py
@@ -204,7 +204,8 @@
                     if segment.number in self.engine.sealed and not await self._clean(segment, True):
                         self._clean_after = self._now() + AGAIN_AFTER
                         return
-        except (StoreCorrupt, StoreUnreadable) as error:  # told; what is well goes on, and that segment is left as it is
+        except (StoreCorrupt, StoreUnreadable) as error:
+            # Told; what is well goes on, and that segment is left as it is.
             self.engine.log("store_cleaning_stopped", why=error)
             self._clean_after = float("inf")
         except StoreError as error:
