Answer requests as streams of server-sent events, where configured

Need: progress that boxes tell reached nobody but the dispatcher.

POST /CLASS with Accept: text/event-stream is answered by accepted, started, progress and one outcome, on the same request's life; without the wish or the setting the answer is the plain one byte for byte. A refusal before the job is admitted stays a plain 503. Limits on streams, by tenant too; readers that take nothing are parted with.

Shown on loopback sockets, read back by a client library's decoder.

--- a/beaconhinge/__main__.py
+++ b/beaconhinge/__main__.py
@@ -46,6 +46,10 @@
     requests = Requests(core, workers, wheel, stats, config.settings)
     frontend = Frontend(config, requests, workers.news, lambda: bool(workers.workers), peers.others, wheel,
                         budget, stats)
+    if ours and ours.progress.enabled:
+        from .net.streams import Streams
+
+        frontend.streams = Streams(ours.progress, config, requests, wheel, stats)
 
     def reload() -> None:
         """Read the whole configuration again; nothing of a faulty one counts. Requests in work go on."""
--- a/beaconhinge/config/ours.py
+++ b/beaconhinge/config/ours.py
@@ -50,11 +50,30 @@
         return None
 
 
+class Progress(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Answers as streams of server-sent events, for clients that ask for them."""
+
+    enabled: bool = False
+    keep_alive_s: float = 15.0
+    retry_ms: int = 1000
+    events_per_s: float = 4.0
+    stalled_s: float = 10.0
+    max_streams: int = 1000
+    max_streams_tenant: int = 500
+
+    def problem(self) -> tuple[str, str] | None:
+        for name in self.__struct_fields__[1:]:
+            if not 0 < getattr(self, name) < float("inf"):
+                return name, "must be a number, more than 0"
+        return None
+
+
 class Ours(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     platform: Platform = Platform()
     log: Log = Log()
     store: StoreTable = StoreTable()
     books: Books = Books()
+    progress: Progress = Progress()
 
 
 def read(path: str | os.PathLike[str]) -> Ours:
@@ -81,7 +100,7 @@
     except msgspec.ValidationError as error:
         reason, _, place = str(error).partition(" - at `$.")
         raise ConfigError(f"{name}: {place.rstrip('`')}: {reason}") from None
-    for table in ("store", "books"):
+    for table in ("store", "books", "progress"):
         problem = getattr(ours, table).problem()
         if problem is not None:
             raise ConfigError(f"{name}: {table}.{problem[0]}: {problem[1]}")
--- a/beaconhinge/net/frontend.py
+++ b/beaconhinge/net/frontend.py
@@ -8,6 +8,7 @@
 import socket
 from collections.abc import Callable
 from itertools import chain
+from typing import TYPE_CHECKING
 from urllib.parse import unquote
 
 from ospreyroute import api
@@ -19,6 +20,9 @@
 from .http1 import BadMessage, Closed, Connection, Message, response
 from .sockets import Budget, tcp_listener
 
+if TYPE_CHECKING:
+    from .streams import Streams
+
 MAX_WAIT = 3600.0  # the longest time that a client may ask to wait
 SLOW_WRITE = 10.0  # seconds a client has to take its answer
 LINGER = 1.0  # seconds it has to take a last one and close
@@ -61,6 +65,7 @@
         self.wheel = wheel
         self.budget = budget
         self.stats = stats
+        self.streams: Streams | None = None  # answers as streams, where they are configured
         self.draining = self.parting = self.refusing = False
         self.answer_by = math.inf
         self.peers: dict[_Peer, None] = {}  # in the order of their last use
@@ -208,13 +213,18 @@
             self.stats.complain("client_request_refused", status=error.status, why=error)
             return _problem(error.status, str(error), close), close
         if self.refusing or job.remaining <= 0:
-            return _written(Answer(REFUSED, retry_after=self.config.settings.max_retry_after), True), True
+            return written(Answer(REFUSED, retry_after=self.config.settings.max_retry_after), True), True
         if self.requests.full:
             self.stats.complain("requests_over_limit", held=len(self.requests.in_hand))
-            return _written(Answer(REFUSED, retry_after=self.config.settings.max_retry_after), close), close
+            return written(Answer(REFUSED, retry_after=self.config.settings.max_retry_after), close), close
+        if self.streams is not None and self.streams.asked_for(message):
+            close = close or peer.connection.version != "1.1"  # which knows no chunks
+            outcome = await self.streams.answer(peer.connection, job, close)
+            close = close or self.parting
+            return b"" if outcome is None else written(outcome, close), close
         answer = await self._answer(peer, self.requests.take(job))
         close = self.parting or not message.keep_alive
-        return _written(answer, close), close
+        return written(answer, close), close
 
     async def _answer(self, peer: _Peer, request: Request) -> Answer:
         """Wait for the answer, with an eye on the client: it may close its connection and be gone."""
@@ -330,7 +340,7 @@
     return response(status, why.encode("ascii", "backslashreplace") + b"\n", headers, close)
 
 
-def _written(answer: Answer, close: bool) -> bytes:
+def written(answer: Answer, close: bool) -> bytes:
     if answer.end == api.SERVED:
         return response(200, answer.body, close=close)
     if answer.end == REFUSED:
--- a/beaconhinge/net/http1.py
+++ b/beaconhinge/net/http1.py
@@ -179,6 +179,12 @@
                 raise Closed
         return self.inbox.popleft()
 
+    @property
+    def version(self) -> str:
+        """Of HTTP, as the peer's last message had it."""
+        version: str = self._parser.get_http_version()
+        return version
+
     async def send(self, data: bytes) -> None:
         await asyncio.get_running_loop().sock_sendall(self.sock, data)
 
--- a/beaconhinge/request.py
+++ b/beaconhinge/request.py
@@ -74,7 +74,26 @@
     pass
 
 
-Step: TypeAlias = api.Send | api.Refuse | api.Abort | api.Cancel | Ended | Told | ClientLeft | Overdue
+@dataclass(slots=True, frozen=True)
+class Admitted:
+    """The module has heard of the job, and what it said at once stands before this."""
+
+
+Step: TypeAlias = (api.Send | api.Refuse | api.Abort | api.Cancel | Ended | Told | ClientLeft | Overdue
+                   | Admitted)
+
+
+class Watcher(Protocol):
+    """Follows a request on its way; the answer comes by itself. Attempts are named by their numbers."""
+
+    def accepted(self) -> None:
+        """The module has not turned it down at once."""
+
+    def started(self, attempt: int) -> None: ...
+
+    def progress(self, attempt: int, share: float) -> None: ...
+
+    def lost(self, attempt: int) -> None: ...
 
 
 class Attempt:
@@ -128,20 +147,21 @@
     def full(self) -> bool:
         return len(self.in_hand) >= self.settings.max_held
 
-    def take(self, job: Job) -> Request:
+    def take(self, job: Job, watcher: Watcher | None = None) -> Request:
         # Numbers stay under 2^32 like the simulator's; the module adds to them for its timers.
         self._last = self._last % 0xFFFF0000 + 1
-        request = self.in_hand[job.id] = Request(self, self._last, job)
+        request = self.in_hand[job.id] = Request(self, self._last, job, watcher)
         self.stats.count("requests_taken")
         self.stats.spawn(request.live(), "request")
         return request
 
 
 class Request:
-    def __init__(self, all_of_them: Requests, number: int, job: Job) -> None:
+    def __init__(self, all_of_them: Requests, number: int, job: Job, watcher: Watcher | None) -> None:
         self.all = all_of_them
         self.number = number
         self.job = job
+        self.watcher = watcher
         self.answer: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
         self._steps: asyncio.Queue[Step] = asyncio.Queue()
         self._attempts: list[Attempt] = []
@@ -157,6 +177,8 @@
         try:
             core.feed(api.Job(self.number, job.cls, job.tenant, job.remaining, job.route_key,
                               slots=job.slots, memory=job.memory, flags=api.REPEAT if job.repeat else 0))
+            if self.watcher is not None:
+                self._steps.put_nowait(Admitted())
             # The last steps count as well: each send is due its outcome, and the module each outcome.
             while not self.answer.done() or not self._steps.empty() or any(a.open for a in self._attempts):
                 step = await self._steps.get()
@@ -169,7 +191,11 @@
                         self._finish(Answer(REFUSED, retry_after=step.retry_after))
                     case api.Abort():
                         self._finish(Answer(FAILED))
+                    case Admitted():
+                        if self.watcher is not None and not self.answer.done():
+                            self.watcher.accepted()
                     case Told():
+                        self._show(step)
                         core.feed(api.Notice(self.number, step.attempt.worker, step.attempt.number, step.what,
                                              step.share))
                     case Ended():
@@ -205,8 +231,18 @@
         attempt.timer = self.all.wheel.after(until - now, lambda: attempt.end(api.TIMEOUT))
         self.all.carrier.start(attempt)
 
+    def _show(self, step: Told) -> None:
+        if self.watcher is None:
+            return
+        if step.what == api.STARTED:
+            self.watcher.started(step.attempt.number)
+        else:
+            self.watcher.progress(step.attempt.number, step.share)
+
     def _ended(self, step: Ended) -> None:
         attempt = step.attempt
+        if self.watcher is not None and step.outcome != api.SERVED:
+            self.watcher.lost(attempt.number)
         self.all.stats.count("outcome_" + step.outcome)
         if step.outcome == api.SERVED:
             self._finish(Answer(api.SERVED, step.body))
--- /dev/null
+++ b/tests/progress/test_streams.py
@@ -0,0 +1,272 @@
+"""Streams on loopback sockets: one final outcome each, whatever the client, the box and the dispatcher do."""
+
+from __future__ import annotations
+
+import asyncio
+import io
+import json
+import socket
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import pytest
+from httpx_sse._decoders import SSEDecoder
+from stage import Scripted, Seen, Stage, job, play, read_message
+
+from beaconhinge import __main__ as program
+from beaconhinge.config.ours import Ours, Progress
+from beaconhinge.net.http1 import Closed, Connection
+from beaconhinge.net.streams import Streams
+from beaconhinge.request import Answer, Job
+from beaconhinge.stats import Stats
+from beaconhinge.wheel import Wheel
+from ospreyroute import api
+
+ON = Ours(progress=Progress(enabled=True, events_per_s=1000.0))
+Event = tuple[str, dict[str, Any], int]
+
+
+class Stream:
+    """A client's side of one stream, read by a client library's decoder."""
+
+    def __init__(self, reader: asyncio.StreamReader, chunked: bool = True) -> None:
+        self.reader = reader
+        self.chunked = chunked
+        self.decoder = SSEDecoder()
+        self.text = ""
+        self.ended = False
+
+    async def more(self) -> None:
+        if not self.chunked:
+            data = await self.reader.read(65536)
+            self.ended = not data
+            self.text += data.decode()
+            return
+        size = int(await self.reader.readline(), 16)
+        data = await self.reader.readexactly(size + 2)
+        self.ended = size == 0
+        self.text += data[:-2].decode()
+
+    async def next(self) -> Event | None:
+        while True:
+            line, end, rest = self.text.partition("\n")
+            if end:
+                self.text = rest
+                event = self.decoder.decode(line)
+                if event is not None:
+                    return event.event, json.loads(event.data), int(event.id)
+            elif self.ended:
+                return None
+            else:
+                await self.more()
+
+    async def rest(self) -> list[Event]:
+        found = []
+        while (event := await self.next()) is not None:
+            found.append(event)
+        return found
+
+
+async def opened(scene: Stage, name: str = "r1", http: str = "1.1",
+                 **headers: str | None) -> tuple[Seen, Stream, asyncio.StreamWriter]:
+    reader, writer = await scene.open()
+    data = job(X_Request_ID=name, Accept="text/event-stream", **headers)
+    writer.write(data.replace(b"HTTP/1.1", b"HTTP/" + http.encode(), 1))
+    head = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
+    fields = {key.lower(): value.strip() for key, _, value in (line.partition(":") for line in head[1:-2])}
+    return Seen(head[0], fields), Stream(reader, "transfer-encoding" in fields), writer
+
+
+def told(story: Callable[[Stage], Awaitable[None]], **more: Any) -> None:
+    play(story, ours=ON, **more)
+
+
+def test_a_job_is_followed_from_taken_to_its_one_outcome() -> None:
+    async def story(scene: Stage) -> None:
+        head, stream, writer = await opened(scene)
+        assert head.status == 200 and head.headers["content-type"] == "text/event-stream"
+        assert head.headers["cache-control"] == "no-store"
+        assert await stream.next() == ("accepted", {"id": "r1", "class": "render"}, 1)
+        await scene.workers[0].seen.get()
+        await scene.news(state="started")
+        assert await stream.next() == ("started", {"attempt": 0, "restart": False}, 2)
+        for share in (0.25, 0.2, 0.5):  # one that is late says nothing
+            await scene.news(state="running", share=share)
+        assert await stream.next() == ("progress", {"attempt": 0, "share": 0.25}, 3)
+        assert await stream.next() == ("progress", {"attempt": 0, "share": 0.5}, 4)
+        await scene.news(state="done", result="a\n\nb\x00")
+        assert await stream.rest() == [("outcome", {"status": 200, "result": "a\n\nb\x00"}, 5)]
+        # The connection goes on: a plain request behind it.
+        writer.write(job(X_Request_ID="r2"))
+        await scene.workers[0].seen.get()
+        await scene.news(id="r2", state="done", result="plain")
+        assert (await read_message(stream.reader)).body == b"plain"
+
+    told(story)
+
+
+def test_without_the_wish_or_without_the_setting_the_answer_is_the_plain_one() -> None:
+    async def plain(scene: Stage, accept: str | None) -> bytes:
+        reader, writer = await scene.open()
+        writer.write(job(Accept=accept))
+        await scene.workers[0].seen.get()
+        await scene.news(state="done", result="it")
+        data = await reader.readuntil(b"it")
+        writer.close()
+        return data
+
+    answers: list[bytes] = []
+
+    async def off(scene: Stage) -> None:
+        answers.append(await plain(scene, "text/event-stream"))
+
+    async def on(scene: Stage) -> None:
+        for accept in (None, "*/*", "application/json, text/event-stream;q=0.5", "text/event-stream;q=0"):
+            answers.append(await plain(scene, accept))
+
+    play(off)
+    told(on)
+    assert len(set(answers)) == 1 and len(answers) == 5
+
+
+def test_a_refusal_before_the_job_is_admitted_is_the_plain_one(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(program, "Dispatcher", lambda *args: Scripted([api.Refuse(1, 1.5)]))
+
+    async def story(scene: Stage) -> None:
+        seen = await scene.ask(job(Accept="text/event-stream"))
+        assert seen.status == 503 and seen.headers["retry-after"] == "1.500"
+        assert (await scene.ask(job(Accept="text/event-stream", X_Timeout_Ms="x"))).status == 400
+
+    told(story)
+
+
+def test_a_refusal_after_the_stream_began_is_its_outcome(monkeypatch: pytest.MonkeyPatch) -> None:
+    module = Scripted([api.Send(1, 0)], {api.Outcome: [api.Refuse(1, 0.75)]})
+    monkeypatch.setattr(program, "Dispatcher", lambda *args: module)
+
+    async def story(scene: Stage) -> None:
+        _, stream, _ = await opened(scene)  # the worker number 0 is not listed: the attempt cannot connect
+        events = await stream.rest()
+        assert [name for name, _, _ in events] == ["accepted", "outcome"]
+        assert events[-1][1] == {"status": 503, "retry_after": 0.75}
+
+    told(story)
+
+
+@pytest.mark.parametrize("after", ["accepted", "started", "progress"])
+def test_a_client_that_leaves_is_gone_once_and_its_job_is_withdrawn(after: str) -> None:
+    async def story(scene: Stage) -> None:
+        _, stream, writer = await opened(scene)
+        worker = scene.workers[0]
+        await worker.seen.get()
+        if after != "accepted":
+            await scene.news(state="started")
+        if after == "progress":
+            await scene.news(state="running", share=0.5)
+        while (await stream.next() or ("",))[0] != after:
+            pass
+        writer.close()
+        assert (await worker.seen.get()).start.startswith("DELETE /jobs/r1 ")
+        _, second, _ = await opened(scene)  # the id is free again, and nothing is left of the first
+        assert (await second.next() or ("",))[0] == "accepted"
+
+    told(story)
+
+
+def test_limits_refuse_with_a_time_to_come_back() -> None:
+    limits = Ours(progress=Progress(enabled=True, max_streams=2, max_streams_tenant=1))
+
+    async def story(scene: Stage) -> None:
+        _, first, _ = await opened(scene, "r1")
+        await first.next()
+        for tenant, name in (("acme", "r2"), ("umbrella", "r3"), ("umbrella", "r4")):
+            seen, _, _ = await opened(scene, name, X_Tenant_Id=tenant)
+            assert seen.status == (200 if name == "r3" else 503)
+            assert name == "r3" or float(seen.headers["retry-after"]) > 0
+
+    play(story, ours=limits)
+
+
+@pytest.mark.parametrize(("http", "connection"), [("1.0", None), ("1.0", "keep-alive"), ("1.1", "close")])
+def test_where_chunks_cannot_be_the_end_of_the_connection_ends_the_stream(
+        http: str, connection: str | None) -> None:
+    async def story(scene: Stage) -> None:
+        head, stream, _ = await opened(scene, http=http, Connection=connection)
+        assert not stream.chunked and head.headers["connection"] == "close"
+        await scene.workers[0].seen.get()
+        await scene.news(state="done", result="it")
+        assert [name for name, _, _ in await stream.rest()] == ["accepted", "outcome"]
+
+    told(story)
+
+
+def test_a_request_behind_a_stream_waits_for_its_end() -> None:
+    async def story(scene: Stage) -> None:
+        _, stream, writer = await opened(scene)
+        writer.write(job(X_Request_ID="r2", Accept="text/event-stream"))
+        await scene.workers[0].seen.get()
+        await scene.news(state="done", result="one")
+        assert [name for name, _, _ in await stream.rest()] == ["accepted", "outcome"]
+        assert (await scene.workers[0].seen.get()).headers["x-request-id"] == "r2"
+        await scene.news(id="r2", state="done", result="two")
+        assert b"200 OK" in await stream.reader.readuntil(b"\r\n\r\n")
+        assert (await Stream(stream.reader).rest())[-1][1]["result"] == "two"
+
+    told(story)
+
+
+def test_after_sigterm_a_stream_still_gets_its_outcome() -> None:
+    async def story(scene: Stage) -> None:
+        _, stream, _ = await opened(scene)
+        await scene.workers[0].seen.get()
+        await scene.stop()
+        await scene.news(state="running", share=0.5)
+        await scene.news(state="done", result="late")
+        events = await stream.rest()
+        assert [name for name, _, _ in events].count("outcome") == 1 and events[-1][1]["result"] == "late"
+        await scene.running
+
+    told(story)
+
+
+def test_a_reader_that_takes_nothing_is_parted_with_and_its_request_told_gone() -> None:
+    async def story() -> None:
+        here, there = socket.socketpair()
+        here.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        here.setblocking(False)
+        log = io.StringIO()
+        stats = Stats(lambda: 1.0, log)
+        loop = asyncio.get_running_loop()
+        left: list[bool] = []
+
+        class Taken:
+            def __init__(self, given: Job, watch: Any) -> None:
+                self.job = given
+                self.answer: asyncio.Future[Answer] = loop.create_future()
+                watch.accepted()
+                watch.progress(0, 0.5)
+                watch.class_name = "render"
+
+            def client_left(self) -> None:
+                left.append(True)
+                self.answer.set_result(Answer("gone"))
+
+        class All:
+            def take(self, given: Job, watch: Any) -> Taken:
+                watch.class_name = "x" * 500_000
+                return Taken(given, watch)
+
+        class Sites:
+            class_names = ("render",)
+
+        streams = Streams(Progress(enabled=True, stalled_s=0.05), Sites(), All(),  # type: ignore[arg-type]
+                          Wheel(loop.time, stats.failure), stats)
+        connection = Connection(here, True, lambda: None)
+        with pytest.raises(Closed):
+            await streams.answer(connection, Job("r1", 0, 0, 5.0, 0.0, b"/render", b""), False)
+        assert left == [True] and stats.counters["stream_stalled"] == 1 and "stream_stalled" in log.getvalue()
+        assert streams.open.total() == 0
+        connection.close()
+        there.close()
+
+    asyncio.run(story())
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -16,6 +16,7 @@
 
 from beaconhinge.__main__ import serve
 from beaconhinge.config import Config, parse
+from beaconhinge.config.ours import Ours
 from ospreyroute import api
 
 SETTINGS: dict[str, Any] = {
@@ -101,7 +102,8 @@
 
 
 class Stage:
-    def __init__(self, worker: Script, workers: int, changes: dict[str, Any]) -> None:
+    def __init__(self, worker: Script, workers: int, changes: dict[str, Any], ours: Ours | None = None) -> None:
+        self.ours = ours
         self.workers = [Peer(worker) for _ in range(workers)]
         self.discovery = Peer(self.list)
         self.lists: list[dict[str, Any]] = []  # what further watches answer; then they wait
@@ -174,11 +176,12 @@
 
 
 @contextlib.asynccontextmanager
-async def stage(worker: Script, workers: int, changes: dict[str, Any]) -> AsyncIterator[Stage]:
-    scene = Stage(worker, workers, changes)
+async def stage(worker: Script, workers: int, changes: dict[str, Any],
+                ours: Ours | None = None) -> AsyncIterator[Stage]:
+    scene = Stage(worker, workers, changes, ours)
     for peer in (*scene.workers, scene.discovery):
         await peer.start()
-    running = scene.running = asyncio.create_task(serve(scene.config))
+    running = scene.running = asyncio.create_task(serve(scene.config, scene.ours))
     await scene.discovery.seen.get()  # its first call: the dispatcher is up
     try:
         yield scene
@@ -189,11 +192,11 @@
 
 
 def play(story: Callable[[Stage], Awaitable[None]], worker: Script = accept, workers: int = 1,
-         **changes: Any) -> None:
+         ours: Ours | None = None, **changes: Any) -> None:
     """Run a story; it may take ten seconds at most."""
 
     async def run() -> None:
-        async with asyncio.timeout(10), stage(worker, workers, changes) as scene:
+        async with asyncio.timeout(10), stage(worker, workers, changes, ours) as scene:
             await story(scene)
 
     uvloop.run(run())
