Let a client come back to its stream: tokens, kept outcomes, detached jobs

Need: a stream that breaks on a poor link left its client without the outcome.

GET /jobs/ID/events with the token from accepted and Last-Event-ID goes on where the reader was; a newer reader takes over; a wrong token, another tenant and an unknown job are told apart by nothing. A job that nobody reads goes on for detached_s (0 by default), then the module hears once that its client has gone; outcomes are kept within a part of the room for bodies.

Shown on loopback: missed events, outcomes fetched later, take-over, giving up, and coming back after SIGTERM.

--- a/beaconhinge/config/ours.py
+++ b/beaconhinge/config/ours.py
@@ -60,11 +60,15 @@
     stalled_s: float = 10.0
     max_streams: int = 1000
     max_streams_tenant: int = 500
+    detached_s: float = 0.0
+    keep_outcome_s: float = 60.0
+    max_detached: int = 200
 
     def problem(self) -> tuple[str, str] | None:
         for name in self.__struct_fields__[1:]:
-            if not 0 < getattr(self, name) < float("inf"):
-                return name, "must be a number, more than 0"
+            value, least = getattr(self, name), name in ("detached_s", "keep_outcome_s")
+            if not (0 <= value if least else 0 < value) or not value < float("inf"):
+                return name, "must be a number, 0 or more" if least else "must be a number, more than 0"
         return None
 
 
--- a/beaconhinge/net/frontend.py
+++ b/beaconhinge/net/frontend.py
@@ -202,6 +202,13 @@
         if path == UP and message.method == "GET":
             up = self.ready() and not self.draining
             return response(200 if up else 503, b"up\n" if up else b"not ready\n", close=close), close
+        if self.streams is not None and message.method == "GET" and path.startswith("/jobs/"):
+            close = close or peer.connection.version != "1.1"
+            name = message.headers.get("x-tenant-id")  # a browser's EventSource cannot say it
+            tenant = None if name is None else self.tenants.get(name, -1)
+            if await self.streams.attach(peer.connection, message, tenant, close):
+                return b"", close or self.parting
+            return _problem(404, f"{path}: no such stream", close), close
         allowed = "GET" if path == UP else "POST"
         if message.method != allowed:
             if path in (UP, NEWS) or self._class_of(path) is not None:
@@ -319,7 +326,8 @@
 
     @property
     def owing(self) -> int:
-        return sum(not peer.idle for peer in self.peers)
+        detached = self.streams.detached if self.streams is not None else 0
+        return detached + sum(not peer.idle for peer in self.peers)
 
 
 def _extras(text: str) -> dict[str, float]:
--- a/beaconhinge/net/streams.py
+++ b/beaconhinge/net/streams.py
@@ -7,9 +7,11 @@
 from __future__ import annotations
 
 import asyncio
+import secrets
 from collections import Counter
 from collections.abc import Mapping
 from typing import Any
+from urllib.parse import parse_qs
 
 from ospreyroute import api
 
@@ -17,11 +19,16 @@
 from ..config.ours import Progress
 from ..progress import codec
 from ..progress.feed import ACCEPTED, Feed, Reader
+from ..progress.registry import Entry, Registry
 from ..request import REFUSED, Answer, Job, Request, Requests
 from ..stats import Stats
 from ..wheel import Wheel
 from .http1 import Closed, Connection, Message
 
+KEPT_PART = 0.25  # of the room for bodies: outcomes kept for those who come back
+LOOK = 0.25  # seconds between looks for what has been detached or kept for long enough
+TOKEN = 16  # bytes of randomness
+
 
 class _Watch:
     """Feeds what becomes of a request, and wakes who writes its stream."""
@@ -30,42 +37,54 @@
         self.feed = Feed()
         self.job = job
         self.class_name = class_name
-        self._news: asyncio.Future[None] | None = None
+        self.token = secrets.token_urlsafe(TOKEN)
+        self.request: Request
+        self._news: set[asyncio.Future[None]] = set()
 
     def news(self) -> asyncio.Future[None]:
-        """Done once something has been told since the last call."""
-        if self._news is None or self._news.done():
-            self._news = asyncio.get_running_loop().create_future()
-        return self._news
+        """Done once something more has been told. Two readers may wait at once, while one takes over."""
+        future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self._news.add(future)
+        return future
+
+    def forget(self, news: asyncio.Future[None]) -> None:
+        self._news.discard(news)
 
-    def _wake(self) -> None:
-        if self._news is not None and not self._news.done():
-            self._news.set_result(None)
+    def wake(self) -> None:
+        for future in self._news:
+            if not future.done():
+                future.set_result(None)
+        self._news.clear()
 
     def accepted(self) -> None:
-        self.feed.accepted({"id": self.job.id, "class": self.class_name})
-        self._wake()
+        self.feed.accepted({"id": self.job.id, "class": self.class_name, "token": self.token})
+        self.wake()
 
     def started(self, attempt: int) -> None:
         self.feed.started(attempt)
-        self._wake()
+        self.wake()
 
     def progress(self, attempt: int, share: float) -> None:
         self.feed.progress(attempt, share)
-        self._wake()
+        self.wake()
 
     def lost(self, attempt: int) -> None:
         self.feed.lost(attempt)
 
 
 class Streams:
-    def __init__(self, told: Progress, config: Config, requests: Requests, wheel: Wheel, stats: Stats) -> None:
+    def __init__(self, told: Progress, config: Config, requests: Requests, wheel: Wheel,
+                 stats: Stats) -> None:
         self.told = told
         self.config = config
         self.requests = requests
         self.wheel = wheel
         self.stats = stats
         self.open: Counter[int] = Counter()  # streams by tenant
+        self.watches: dict[str, _Watch] = {}  # by job, as long as the registry knows it
+        self.registry = Registry(told.detached_s, told.keep_outcome_s, told.max_detached,
+                                 int(KEPT_PART * config.limits.body_bytes))
+        wheel.after(LOOK, self._look)
 
     def asked_for(self, message: Message) -> bool:
         accept = message.headers.get("accept", "")
@@ -82,17 +101,67 @@
         self.open[job.tenant] += 1
         try:
             watch = _Watch(job, self.config.class_names[job.cls])
-            request = self.requests.take(job, watch)
+            request = watch.request = self.requests.take(job, watch)
             while not watch.feed.milestones:
                 if request.answer.done():
                     return request.answer.result()
-                await self._wait(connection, request, watch, None)
+                reading = await self._wait(connection, watch, None)
+                if reading.done() and not reading.result():
+                    await self._give_up(request)
+                    raise Closed
             self.stats.count("streams")
-            await self._write(connection, request, watch, close)
+            entry = self.registry.add(job.id, job.tenant, watch.token, watch.feed)
+            self.watches[job.id] = watch
+            request.answer.add_done_callback(lambda answer: self._answered(entry, watch, answer.result()))
+            await self._read(connection, entry, watch, 0, close)
             return None
         finally:
             self.open[job.tenant] -= 1
 
+    async def attach(self, connection: Connection, message: Message, tenant: int | None, close: bool) -> bool:
+        """Go on with a stream at `GET /jobs/ID/events`; False when nothing there is for who asks.
+
+        Raises Closed as `answer` does.
+        """
+        path, _, query = message.target.decode("latin-1").partition("?")
+        parts = path.split("/")
+        given = parse_qs(query, max_num_fields=8).get("token", [""])[-1]
+        given = given or message.headers.get("authorization", "").removeprefix("Bearer ").strip()
+        entry = self.registry.find(parts[2], given, tenant) if parts[3:] == ["events"] else None
+        if entry is None or self._full(entry.tenant):
+            self.stats.count("streams_not_found")
+            return False
+        seen = codec.last_event_id(message.headers.get("last-event-id", "")) or 0
+        self.stats.count("streams_attached")
+        self.open[entry.tenant] += 1
+        try:
+            await self._read(connection, entry, self.watches[entry.id], seen, close)
+        finally:
+            self.open[entry.tenant] -= 1
+        return True
+
+    def _answered(self, entry: Entry, watch: _Watch, answer: Answer) -> None:
+        watch.feed.outcome(_content(answer))
+        watch.wake()
+        self.registry.ended(entry, len(answer.body), self.wheel.now())
+        self._drop_unknown()
+
+    def _look(self) -> None:
+        self.wheel.after(LOOK, self._look)
+        for entry in self.registry.expire(self.wheel.now()):
+            self.stats.count("streams_given_up")
+            self.watches[entry.id].request.client_left()
+        self._drop_unknown()
+
+    def _drop_unknown(self) -> None:
+        for job in [job for job in self.watches if job not in self.registry.entries]:
+            del self.watches[job]
+
+    @property
+    def detached(self) -> int:
+        """Jobs in work whose readers may come back: the door stays open for them."""
+        return self.registry.detached
+
     def _full(self, tenant: int) -> bool:
         if self.open.total() >= self.told.max_streams:
             self.stats.complain("streams_over_limit", limit="max_streams")
@@ -102,55 +171,74 @@
             return True
         return False
 
-    async def _write(self, connection: Connection, request: Request, watch: _Watch, close: bool) -> None:
+    async def _read(self, connection: Connection, entry: Entry, watch: _Watch, seen: int,
+                    close: bool) -> None:
+        """Write a stream to one reader, to its outcome or until a newer reader takes over."""
+        number = self.registry.attach(entry)
+        watch.wake()  # the one before sees that it has been taken over from
+        try:
+            await self._write(connection, entry, watch, number, seen, close)
+        except (Closed, OSError):
+            self.stats.count("streams_left")
+            if self.registry.left(entry, number, self.wheel.now()):
+                await self._give_up(watch.request)
+            raise Closed from None
+        self.registry.left(entry, number, self.wheel.now())
+
+    async def _write(self, connection: Connection, entry: Entry, watch: _Watch, number: int, seen: int,
+                     close: bool) -> None:
         chunked = not close  # a connection that ends with its stream needs no chunks
-        reader = Reader(watch.feed, self.wheel.now(), 0, self.told.events_per_s, self.told.keep_alive_s)
+        reader = Reader(watch.feed, self.wheel.now(), seen, self.told.events_per_s, self.told.keep_alive_s)
         data = _head(close)
         while True:
-            if request.answer.done() and not watch.feed.over:
-                watch.feed.outcome(_content(request.answer.result()))
             now = self.wheel.now()
-            text = b"".join(codec.json_event(said.name, said.number, said.content,
-                                             self.told.retry_ms if said.name == ACCEPTED else None)
-                            for said in reader.take(now))
-            if not text and reader.keep_alive(now):
+            taken_over = entry.reader != number
+            said = [] if taken_over else reader.take(now)
+            text = b"".join(codec.json_event(one.name, one.number, one.content,
+                                             self.told.retry_ms if one.name == ACCEPTED else None)
+                            for one in said)
+            if taken_over:
+                text = codec.comment("another reader has taken this stream over")
+            elif not text and reader.keep_alive(now):
                 text = codec.comment("alive")
             if text:
                 data += b"%x\r\n%b\r\n" % (len(text), text) if chunked else text
-            if reader.done and chunked:
+            last = taken_over or reader.done
+            if last and chunked:
                 data += b"0\r\n\r\n"
             if data:
-                await self._send(connection, request, data)
+                await self._send(connection, data, watch.job.id)
                 data = b""
-            if reader.done:
+            if last:
                 return
-            await self._wait(connection, request, watch, reader.wait(self.wheel.now()))
+            reading = await self._wait(connection, watch, reader.wait(self.wheel.now()))
+            if reading.done() and not reading.result():
+                raise Closed
 
-    async def _send(self, connection: Connection, request: Request, data: bytes) -> None:
+    async def _send(self, connection: Connection, data: bytes, job: str) -> None:
         try:
             async with self.wheel.limit(self.told.stalled_s):
                 await connection.send(data)
-        except OSError as error:  # a time-out is an OSError too
-            if isinstance(error, TimeoutError):
-                self.stats.complain("stream_stalled", request=request.job.id)
-            await self._leave(request)
-
-    async def _wait(self, connection: Connection, request: Request, watch: _Watch,
-                    most: float | None) -> None:
-        """Until something is told, the answer is there, or `most` seconds have passed."""
-        reading = connection.reading()
-        await asyncio.wait((request.answer, watch.news(), reading), timeout=most,
-                           return_when=asyncio.FIRST_COMPLETED)
-        if reading.done() and not reading.result():
-            await self._leave(request)
-
-    async def _leave(self, request: Request) -> None:
-        """The client has gone; the module hears of it once, if it had not answered before."""
+        except TimeoutError:
+            self.stats.complain("stream_stalled", request=job)
+            raise
+
+    async def _wait(self, connection: Connection, watch: _Watch, most: float | None) -> asyncio.Task[bool]:
+        """Until something is told, the answer is there, the client sends or leaves, or `most` s have passed.
+        """
+        reading, news = connection.reading(), watch.news()
+        waits: set[asyncio.Future[Any]] = {news, reading}
+        if not watch.feed.milestones:
+            waits.add(watch.request.answer)  # from the first event on the answer is told like all else
+        await asyncio.wait(waits, timeout=most, return_when=asyncio.FIRST_COMPLETED)
+        watch.forget(news)
+        return reading
+
+    async def _give_up(self, request: Request) -> None:
+        """Nobody waits for it any more: the module hears of that once, if it had not answered before."""
         if not request.answer.done():
             request.client_left()
             await request.answer
-        self.stats.count("streams_left")
-        raise Closed
 
 
 def _head(close: bool) -> bytes:
--- a/tests/progress/test_streams.py
+++ b/tests/progress/test_streams.py
@@ -14,6 +14,7 @@
 from stage import Scripted, Seen, Stage, job, play, read_message
 
 from beaconhinge import __main__ as program
+from beaconhinge.config import Limits
 from beaconhinge.config.ours import Ours, Progress
 from beaconhinge.net.http1 import Closed, Connection
 from beaconhinge.net.streams import Streams
@@ -29,8 +30,9 @@
 class Stream:
     """A client's side of one stream, read by a client library's decoder."""
 
-    def __init__(self, reader: asyncio.StreamReader, chunked: bool = True) -> None:
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, chunked: bool = True) -> None:
         self.reader = reader
+        self.writer = writer  # one that nobody holds closes its connection
         self.chunked = chunked
         self.decoder = SSEDecoder()
         self.text = ""
@@ -74,7 +76,7 @@
     writer.write(data.replace(b"HTTP/1.1", b"HTTP/" + http.encode(), 1))
     head = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
     fields = {key.lower(): value.strip() for key, _, value in (line.partition(":") for line in head[1:-2])}
-    return Seen(head[0], fields), Stream(reader, "transfer-encoding" in fields), writer
+    return Seen(head[0], fields), Stream(reader, writer, "transfer-encoding" in fields), writer
 
 
 def told(story: Callable[[Stage], Awaitable[None]], **more: Any) -> None:
@@ -86,7 +88,9 @@
         head, stream, writer = await opened(scene)
         assert head.status == 200 and head.headers["content-type"] == "text/event-stream"
         assert head.headers["cache-control"] == "no-store"
-        assert await stream.next() == ("accepted", {"id": "r1", "class": "render"}, 1)
+        name, content, number = await stream.next() or ("", {}, 0)
+        assert (name, content["id"], content["class"], number) == ("accepted", "r1", "render", 1)
+        assert len(content["token"]) >= 22
         await scene.workers[0].seen.get()
         await scene.news(state="started")
         assert await stream.next() == ("started", {"attempt": 0, "restart": False}, 2)
@@ -179,8 +183,10 @@
     async def story(scene: Stage) -> None:
         _, first, _ = await opened(scene, "r1")
         await first.next()
+        held = []
         for tenant, name in (("acme", "r2"), ("umbrella", "r3"), ("umbrella", "r4")):
-            seen, _, _ = await opened(scene, name, X_Tenant_Id=tenant)
+            seen, stream, _ = await opened(scene, name, X_Tenant_Id=tenant)
+            held.append(stream)
             assert seen.status == (200 if name == "r3" else 503)
             assert name == "r3" or float(seen.headers["retry-after"]) > 0
 
@@ -210,7 +216,7 @@
         assert (await scene.workers[0].seen.get()).headers["x-request-id"] == "r2"
         await scene.news(id="r2", state="done", result="two")
         assert b"200 OK" in await stream.reader.readuntil(b"\r\n\r\n")
-        assert (await Stream(stream.reader).rest())[-1][1]["result"] == "two"
+        assert (await Stream(stream.reader, writer).rest())[-1][1]["result"] == "two"
 
     told(story)
 
@@ -229,6 +235,110 @@
     told(story)
 
 
+STAYS = Ours(progress=Progress(enabled=True, events_per_s=1000.0, detached_s=5.0))
+
+
+async def back(scene: Stage, token: str, seen: int = 0, name: str = "r1",
+               query: bool = False, **headers: str) -> tuple[Seen, Stream, asyncio.StreamWriter]:
+    reader, writer = await scene.open()
+    given = {"Host": "x", **headers}
+    if seen:
+        given["Last-Event-ID"] = str(seen)
+    if not query:
+        given["Authorization"] = f"Bearer {token}"
+    lines = "".join(f"{key.replace('_', '-')}: {value}\r\n" for key, value in given.items())
+    where = f"/jobs/{name}/events" + (f"?token={token}" if query else "")
+    writer.write(f"GET {where} HTTP/1.1\r\n{lines}\r\n".encode())
+    head = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
+    fields = {key.lower(): value.strip() for key, _, value in (line.partition(":") for line in head[1:-2])}
+    return Seen(head[0], fields), Stream(reader, writer, "transfer-encoding" in fields), writer
+
+
+async def token_of(stream: Stream) -> str:
+    _, content, _ = await stream.next() or ("", {}, 0)
+    return str(content["token"])
+
+
+@pytest.mark.parametrize("query", [False, True])
+def test_one_that_comes_back_gets_what_it_missed_and_the_rest(query: bool) -> None:
+    async def story(scene: Stage) -> None:
+        _, stream, writer = await opened(scene)
+        token = await token_of(stream)
+        await scene.workers[0].seen.get()
+        await scene.news(state="started")
+        writer.close()
+        await scene.news(state="running", share=0.25)
+        _, second, _ = await back(scene, token, seen=1, query=query)
+        assert [(await second.next() or ("",))[0] for _ in range(2)] == ["started", "progress"]
+        await scene.news(state="done", result="it")
+        assert [(name, number) for name, _, number in await second.rest()] == [("outcome", 4)]
+        assert scene.workers[0].seen.empty()  # one run, nothing withdrawn
+        _, third, _ = await back(scene, token, seen=3, query=query)  # the outcome is kept
+        assert [(name, content["result"]) for name, content, _ in await third.rest()] == [("outcome", "it")]
+
+    play(story, ours=STAYS)
+
+
+def test_a_wrong_token_another_tenant_and_no_job_are_told_apart_by_nothing() -> None:
+    async def story(scene: Stage) -> None:
+        _, stream, _ = await opened(scene)
+        token = await token_of(stream)
+        wrong = token[:-1] + ("A" if token[-1] != "A" else "B")
+        for given, name, headers in ((wrong, "r1", {}), ("", "r1", {}), (token, "r2", {}), ("\xe9", "r1", {}),
+                                     (token, "r1", {"X_Tenant_Id": "umbrella"}),
+                                     (token, "r1", {"X_Tenant_Id": "nobody"}), (token, "", {})):
+            head, _, _ = await back(scene, given, name=name, **headers)
+            assert head.status == 404, (given, name, headers)
+        head, _, _ = await back(scene, token, X_Tenant_Id="acme")
+        assert head.status == 200
+
+    play(story, ours=STAYS)
+
+
+def test_the_newer_reader_takes_over_and_the_older_is_told() -> None:
+    async def story(scene: Stage) -> None:
+        _, stream, _ = await opened(scene)
+        token = await token_of(stream)
+        await scene.workers[0].seen.get()
+        _, second, _ = await back(scene, token)
+        assert (await second.next() or ("",))[0] == "accepted"
+        while not stream.ended:
+            await stream.more()
+        assert ": another reader has taken this stream over\n" in stream.text
+        await scene.news(state="done", result="it")
+        assert [name for name, _, _ in await second.rest()] == ["outcome"]
+
+    play(story, ours=STAYS)
+
+
+def test_a_job_that_nobody_comes_back_for_is_given_up_once() -> None:
+    async def story(scene: Stage) -> None:
+        _, stream, writer = await opened(scene)
+        token = await token_of(stream)
+        await scene.workers[0].seen.get()
+        writer.close()
+        assert (await scene.workers[0].seen.get()).start.startswith("DELETE /jobs/r1 ")
+        _, late, _ = await back(scene, token, seen=1)
+        assert [content["status"] for _, content, _ in await late.rest()] == [502]
+
+    play(story, ours=Ours(progress=Progress(enabled=True, detached_s=0.05)))
+
+
+def test_after_sigterm_a_detached_job_can_still_be_come_back_to() -> None:
+    async def story(scene: Stage) -> None:
+        _, stream, writer = await opened(scene)
+        token = await token_of(stream)
+        await scene.workers[0].seen.get()
+        writer.close()
+        await scene.stop()
+        _, second, _ = await back(scene, token, seen=1)
+        await scene.news(state="done", result="late")
+        assert [name for name, _, _ in await second.rest()] == ["outcome"]
+        await scene.running
+
+    play(story, ours=STAYS)
+
+
 def test_a_reader_that_takes_nothing_is_parted_with_and_its_request_told_gone() -> None:
     async def story() -> None:
         here, there = socket.socketpair()
@@ -258,6 +368,7 @@
 
         class Sites:
             class_names = ("render",)
+            limits = Limits()
 
         streams = Streams(Progress(enabled=True, stalled_s=0.05), Sites(), All(),  # type: ignore[arg-type]
                           Wheel(loop.time, stats.failure), stats)
