--- a/beaconhinge/cli/store.py
+++ b/beaconhinge/cli/store.py
@@ -7,7 +7,7 @@
 import json
 import os
 import sys
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Sequence
 from pathlib import Path
 from typing import TYPE_CHECKING, Annotated, Any
 
@@ -15,6 +15,7 @@
 
 if TYPE_CHECKING:
     from ..store import Store
+    from ..store.repair import Damage
 
 app = typer.Typer(no_args_is_help=True, help="Look at, check, clean and salvage a store. All but verify and "
                   "repair need the program that uses it to be stopped.")
@@ -44,6 +45,15 @@
         print(f"{name:28} {value:,}" if isinstance(value, int) else f"{name:28} {value}")
 
 
+def _listed(damage: Sequence[Damage]) -> list[dict[str, Any]]:
+    return [{"file": d.file, "offset": d.offset, "bytes": d.size, "reason": d.reason} for d in damage]
+
+
+def _print_listed(word: str, rows: list[dict[str, Any]]) -> None:
+    for row in rows:
+        print("{}: {file} at byte {offset}, {bytes} bytes: {reason}".format(word, **row))
+
+
 def _open(folder: Path) -> Store:
     from ..store import Store, StoreError
     from ..store.codec import MANIFEST
@@ -82,15 +92,14 @@
             found = check(RealDisk(folder, make=False), progress)
     except StoreCorrupt as error:
         found = Verified(damage=[Damage(error.file, error.offset, 0, error.reason)])
-    damage = [{"file": d.file, "offset": d.offset, "bytes": d.size, "reason": d.reason} for d in found.damage]
+    damage = _listed(found.damage)
     figures = {"segments": found.segments, "frames": found.frames, "bytes": found.size,
                "torn_tail_bytes": found.torn, "unusable_indexes": found.indexes_unusable}
     if as_json:
         print(json.dumps({**figures, "well": not damage, "damage": damage}))
     else:
         _print(figures, False)
-        for one in damage:
-            print("damage: {file} at byte {offset}, {bytes} bytes: {reason}".format(**one))
+        _print_listed("damage", damage)
         print("damaged" if damage else "well")
     return BROKEN if damage else 0
 
@@ -161,13 +170,12 @@
                         progress)
     source.unlock()
     target.unlock()
-    lost = [{"file": d.file, "offset": d.offset, "bytes": d.size, "reason": d.reason} for d in found.lost]
+    lost = _listed(found.lost)
     if as_json:
         print(json.dumps({"batches": found.batches, "keys": found.keys, "lost": lost}))
     else:
         _print({"batches": found.batches, "keys": found.keys}, False)
-        for one in lost:
-            print("lost: {file} at byte {offset}, {bytes} bytes: {reason}".format(**one))
+        _print_listed("lost", lost)
     return 0
 
 
--- a/beaconhinge/standin/scene.py
+++ b/beaconhinge/standin/scene.py
@@ -67,8 +67,8 @@
         return not self.missing and not self.other and self.exit_status == 0 and self.asked > 0
 
 
-def free_port() -> int:
-    with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as sock:
+def free_port(kind: int = socket.SOCK_STREAM) -> int:
+    with socket.socket(socket.AF_INET, kind) as sock:
         sock.bind(("127.0.0.1", 0))
         return int(sock.getsockname()[1])
 
--- a/beaconhinge/store/engine.py
+++ b/beaconhinge/store/engine.py
@@ -219,6 +219,11 @@
             self.log("store_failed", why=why)
         return self.failure
 
+    def _only_room(self, what: str, error: OSError) -> None:
+        """Raises StoreFailed for any error but a lack of room, which passes."""
+        if error.errno not in FULL:
+            raise self.fail(f"{what}: {error}") from None
+
     def _write_manifest(self, manifest: Manifest) -> None:
         """Raises OSError while the old one stands, StoreFailed when neither is known to."""
         replace(self.disk, MANIFEST, codec.encode_manifest(manifest))
@@ -255,8 +260,7 @@
         try:
             self._roll()
         except OSError as error:
-            if error.errno not in FULL:
-                raise self.fail(f"a new segment: {error}") from None
+            self._only_room("a new segment", error)
             raise self.full(str(error)) from None
 
     def unindexed(self) -> Segment | None:
@@ -317,8 +321,7 @@
             if self.active.size >= self.options.segment_bytes:
                 self._roll()
         except OSError as error:
-            if error.errno not in FULL:
-                raise self.fail(f"a new segment: {error}") from None
+            self._only_room("a new segment", error)
             result.failed = {i: self.full(str(error)) for i in range(len(batches))}
             result.moved = False
             return result
@@ -418,8 +421,7 @@
 
     def _undo(self, error: OSError) -> None:
         """Take back a group that did not fit. Raises StoreFailed when that, or more than room, is amiss."""
-        if error.errno not in FULL:
-            raise self.fail(f"write: {error}") from None
+        self._only_room("write", error)
         try:
             self.active.file.truncate(self.active.size)
         except OSError as second:
@@ -485,8 +487,7 @@
         try:
             self._write_manifest(self._manifest(self.active.number, self._floor, without=segment.number))
         except OSError as error:
-            if error.errno not in FULL:
-                raise self.fail(f"manifest: {error}") from None
+            self._only_room("manifest", error)
             self.counters["store_cleaning_without_room"] += 1
             return False
         for name in (segment.name, codec.index_name(segment.number)):
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -17,6 +17,7 @@
 from beaconhinge.__main__ import serve
 from beaconhinge.config import Config, parse
 from beaconhinge.config.ours import Ours
+from beaconhinge.standin.scene import free_port as free_port
 from ospreyroute import api
 
 SETTINGS: dict[str, Any] = {
@@ -35,12 +36,6 @@
 }
 
 
-def free_port(kind: int = socket.SOCK_STREAM) -> int:
-    with socket.socket(socket.AF_INET, kind) as sock:
-        sock.bind(("127.0.0.1", 0))
-        return int(sock.getsockname()[1])
-
-
 @dataclass
 class Seen:
     """One message as a peer or a client read it."""
