Send no second copy of a job that waits in a queue, in a large group either

A cancel neither stops running work nor drops waiting work on this site, so each copy was one more job for a busy worker, made the next job wait, and so called for the next copy.

Fault: Dispatcher.send set a timer for each send in a large group, on_unstarted copied. Both are gone; stranded jobs on silent workers are another path and stay.

--- a/ospreyroute/decide.py
+++ b/ospreyroute/decide.py
@@ -17,8 +17,6 @@
 
 INF = float("inf")
 TICK, REPORT = 1, 2  # timers: housekeeping and peer report
-UNSTARTED = 16  # and, from here on, one for each send, by its request
-QUEUED = 0.1  # part of the aim after which a job without a start notice waits in a queue
 TICK_AFTER = 0.1  # seconds between wake-ups, a tenth of the shortest deadline at most; they cost little
 REPORT_AFTER, REPORT_MOST = 0.5, 8.0  # seconds between reports, jittered, lest timers stay in step
 CONTROL_AFTER = 1.0  # seconds between changes of the fleet rate: a cut must show before the next
@@ -550,8 +548,6 @@
         request.attempts.append(_Attempt(worker, self.now))
         request.pending += 1
         self.actions.append(api.Send(request.id, worker.id))
-        if self.blind and self.settings.tells_start:
-            self.actions.append(api.SetTimer(UNSTARTED + request.id, QUEUED * request.cls.aim))
 
     def hold(self, request: _Request) -> None:
         late = self.now >= request.start_by
@@ -717,17 +713,6 @@
             if self.settings.cancel and attempt.open and attempt is not but:
                 self.actions.append(api.Cancel(request.id, number))
 
-    def on_unstarted(self, number: int) -> None:
-        """A job that shows no start waits behind others, or its worker stands still: a second copy, where it
-        is allowed and harmless, goes elsewhere. It may cost work where calling off is not heeded.
-        """
-        request = self.requests.get(number)
-        if request is None or request.done or any(a.open and a.noticed for a in request.attempts):
-            return
-        last = request.attempts[-1].worker
-        last.free, last.free_at = min(last.free, 0.0), self.now
-        self.copy(request)
-
     def copy_stranded(self) -> None:
         """A job on a worker that has fallen silent may never end there, one on a worker that has slowed down
         will be late, and one whose start is not told may never have arrived: a copy takes a free slot.
@@ -823,8 +808,6 @@
         if event.token == REPORT:
             self.report()
             self.actions.append(api.SetTimer(REPORT, self.report_after * (0.75 + 0.5 * self.random.random())))
-        elif event.token >= UNSTARTED:
-            self.on_unstarted(event.token - UNSTARTED)
         elif event.token == TICK:
             self.actions.append(api.SetTimer(TICK, self.tick))
             self.refill()
