Spread calls to discovery over a window that grows with the group

Discovery answers in turn, 5 to 7 calls a second; a call that waits 2 s has failed, yet it is worked on. Calls given up thus keep the queue at its bound. From 13 s on 150 to 380 sends a second went to workers that were gone, and each cost 250 ms.

Ruled out: the network code's own time-out of 2 s (16 of 400 calls ended by it, all others by discovery's answer); watches that continue (16 that were let in at first stayed to the end and got each change).

Fault: Dispatcher.ask backed off from 0.31 s, and from a half of that at least, so all stayed in step; a start asked at once. Now a refused call is repeated anywhere within 0.25 s for each dispatcher, doubled up to twice mustAskIn (the rule allows four times); in a large group the first call comes anywhere within 5 s at most, and the remembered list serves until then.

--- a/ospreyroute/decide.py
+++ b/ospreyroute/decide.py
@@ -20,6 +20,7 @@
 TICK_AFTER = 0.1  # seconds between wake-ups, a tenth of the shortest deadline at most; they cost little
 REPORT_AFTER, REPORT_MOST = 0.5, 8.0  # seconds between reports, jittered, lest timers stay in step
 CONTROL_AFTER = 1.0  # seconds between changes of the fleet rate: a cut must show before the next
+ASK_SPREAD = 0.25  # seconds for each dispatcher, over which they spread their calls to discovery
 CIRCLE = 16  # dispatchers that report to each other: all of a small group; enough to sample a large one
 SIGHT = 8  # in a larger group a dispatcher sees less than an eighth of the slots taken: it is blind
 REPORT_BYTES = 256  # delivered bytes of reports for each own job, one full message, in a large group
@@ -174,8 +175,7 @@
         self.rate = INF  # work a second that the fleet admits
         self.sends = self.fulls = 0
         self.started = self.controlled = self.reported = self.refilled = 0.0
-        self.ask_at = INF
-        self.ask_after = 0.0
+        self.ask_at, self.ask_within = INF, ASK_SPREAD * settings.group_size
 
     def handle(self, now: float, event: api.Event) -> list[api.Action]:
         self.now = now
@@ -190,19 +190,24 @@
         self.started = self.controlled = self.reported = self.refilled = self.now
         self.actions.append(api.SetTimer(TICK, self.tick))
         self.actions.append(api.SetTimer(REPORT, REPORT_AFTER * self.random.random()))
-        self.ask()
+        if self.blind:  # a release restarts many at once, and discovery answers in turn, or not at all
+            longest = min(self.ask_within, self.settings.must_ask_in) / 2
+            self.ask_at = self.now + longest * self.random.random()
+        else:
+            self.ask()
 
     def ask(self) -> None:
-        """Ask for the list, and again with back-off: not asking counts as knowing after `must_ask_in`."""
+        """Not asking counts as knowing after `must_ask_in`, and after four times that when it was refused."""
         if self.settings.subscribe:
             self.actions.append(api.Subscribe())
-            longest = self.settings.must_ask_in / 2
-            self.ask_after = min(longest, self.ask_after * 2 or longest / 16)
-            self.ask_at = self.now + longest
+        self.ask_at = self.now + self.settings.must_ask_in / 2
 
     def on_membership(self, event: api.Membership) -> None:
         if event.how == api.REFUSED:
-            self.ask_at = self.now + self.ask_after * (0.5 + 0.5 * self.random.random())
+            # Watches end together, and calls given up still cost discovery work: asked again within a short
+            # time by all, it answered none of them any more. So each waits anywhere in a wide window.
+            self.ask_at = self.now + self.ask_within * self.random.random()
+            self.ask_within = min(2 * self.ask_within, 2 * self.settings.must_ask_in)
             return
         if event.how != api.CHANGES:
             named = {m.worker for m in event.members}
@@ -222,7 +227,7 @@
         listed = [w for w in self.workers.values() if w.listed]
         self.pool = {k: [w for w in listed if k in (-1, w.kind)] for k in (-1, *{w.kind for w in listed})}
         if event.how != api.REMEMBERED and self.settings.subscribe:
-            self.ask_at, self.ask_after = INF, 0.0
+            self.ask_at, self.ask_within = INF, ASK_SPREAD * self.settings.group_size
         self.serve_held()
 
     def let_go(self, worker: _Worker) -> None:
--- a/tests/test_large_groups.py
+++ b/tests/test_large_groups.py
@@ -226,3 +226,40 @@
     for n in range(1, 5):
         dispatcher.handle(120.0, job(n))
     assert [dispatcher.requests[n].over for n in range(1, 5)] == [False] * 4
+
+
+def asked(group: list[Dispatcher], refused: bool, seconds: float) -> list[float]:
+    """When each of a group asks for the list, after a start or a refusal that all had at 100.0."""
+    times = []
+    for dispatcher in group:
+        if refused:
+            dispatcher.handle(100.0, api.Membership(api.REFUSED))
+        for step in range(int(seconds * 10)):
+            now = 100.0 + step / 10
+            if any(isinstance(a, api.Subscribe) for a in dispatcher.handle(now, api.Timer(decide.TICK))):
+                times.append(now)
+                dispatcher.handle(now, api.Membership(api.CHANGES, 1))
+    return sorted(times)
+
+
+@pytest.mark.parametrize("refused", [False, True])
+def test_calls_to_discovery_after_a_common_start_or_failure_are_spread(refused: bool) -> None:
+    """Forty watches broke within a second, all asked again within a third of one, and none was ever answered."""
+    group = [member(40, number, membershipMode="on_request") for number in range(40)]
+    times = asked(group, refused, 4.9 if not refused else 9.9)
+    assert len(times) == 40  # well before not asking counts as knowing
+    busiest = max(sum(start <= t < start + 1.0 for t in times) for start in times)
+    assert busiest <= (16 if not refused else 10)
+
+
+def test_a_refused_call_is_repeated_ever_later_but_in_time_for_the_rule() -> None:
+    dispatcher, now, waits = member(40, membershipMode="on_request"), 100.0, []
+    for _ in range(60):
+        dispatcher.handle(now, api.Membership(api.REFUSED))
+        waits.append(dispatcher.ask_at - now)
+        now = dispatcher.ask_at
+        assert any(isinstance(a, api.Subscribe) for a in dispatcher.handle(now, api.Timer(decide.TICK)))
+    assert max(waits) <= 2 * dispatcher.settings.must_ask_in and sum(waits[20:]) / 40 > 0.8 * sum(waits[:1])
+    dispatcher.handle(now, api.Membership(api.CHANGES, 2))
+    dispatcher.handle(now, api.Membership(api.REFUSED))
+    assert dispatcher.ask_at <= now + decide.ASK_SPREAD * 40
