Let one dispatcher of a large group be the hub of its news, and model a fleet in virtual time

Now, in groups of more than nine, news go to one hub, which tells all ten times a second what has changed: slots out by worker, whether it served, how often it failed. Figures are whole, so that a lost board is mended by the next change or the next round. Whoever misses boards for 0.5 s and 0.03 s for each lower number takes over; of two the higher gives way; a new hub is told by each what it has out. Small groups tell directly as before. A connection that fails counts against a worker when it is silent or doubted.

--- /dev/null
+++ b/beaconhinge/standin/fleet/discovery.py
@@ -0,0 +1,77 @@
+"""Discovery: one service for all, which answers in turn, and watches that continue."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from functools import partial
+
+from ospreyroute import api
+
+from .clock import Clock
+
+PATIENCE = 2.0  # seconds that a call may wait for its turn
+BOUND = 4.0  # seconds of work in hand, beyond which a call is refused at once
+ANSWER = 0.003
+SPREAD = (0.02, 0.1)  # seconds in which watchers hear of a change
+
+
+class Discovery:
+    """A call that has waited too long has failed, and is worked on all the same."""
+
+    def __init__(self, clock: Clock, rng: random.Random, calls_a_second: float,
+                 tell: Callable[[int, api.Membership], None]) -> None:
+        self.clock = clock
+        self.random = rng
+        self.calls_a_second = calls_a_second
+        self.tell = tell
+        self.calls = self.refusals = 0
+        self._busy_until = 0.0
+        self._version = 0
+        self._log: list[tuple[int, api.Member]] = []
+        self._known: dict[int, int] = {}  # of those that watch
+        self._call: dict[int, int] = {}  # the last one of each
+
+    def publish(self, members: list[api.Member]) -> None:
+        self._version += 1
+        self._log += [(self._version, member) for member in members]
+        for number in self._known:
+            self.clock.after(self.random.uniform(*SPREAD), partial(self._push, number))
+
+    def call(self, number: int, known: int) -> None:
+        """Ask for what has changed since, and watch from then on."""
+        self.calls += 1
+        self._call[number] = self.calls
+        work = max(0.0, self._busy_until - self.clock.now)
+        if work > BOUND:
+            self.clock.after(ANSWER, partial(self._refuse, number, self.calls))
+            return
+        self._busy_until = self.clock.now + work + 1 / self.calls_a_second
+        if work > PATIENCE:
+            self.clock.after(PATIENCE, partial(self._refuse, number, self.calls))
+        else:
+            self.clock.after(work + ANSWER, partial(self._answer, number, known, self.calls))
+
+    def leave(self, number: int) -> None:
+        """Who asked is no more: no answer to it."""
+        self._known.pop(number, None)
+        self._call.pop(number, None)
+
+    def _refuse(self, number: int, call: int) -> None:
+        if self._call.get(number) == call:
+            self.refusals += 1
+            self.tell(number, api.Membership(api.REFUSED))
+
+    def _answer(self, number: int, known: int, call: int) -> None:
+        if self._call.get(number) == call:
+            self._changes(number, known)
+
+    def _push(self, number: int) -> None:
+        known = self._known.get(number)
+        if known is not None and known < self._version:
+            self._changes(number, known)
+
+    def _changes(self, number: int, known: int) -> None:
+        self._known[number] = self._version
+        changed = {member.worker: member for version, member in self._log if version > known}
+        self.tell(number, api.Membership(api.CHANGES, self._version, list(changed.values())))
--- a/ospreyroute/decide.py
+++ b/ospreyroute/decide.py
@@ -23,10 +23,8 @@
 CONTROL_AFTER = 1.0  # seconds between changes of the fleet rate: a cut must show before the next
 ASK_SPREAD = 0.25  # seconds for each dispatcher, over which they spread their calls to discovery
 FEW = 8  # in a larger group than that a dispatcher has few sends, and an Nth of a budget is less than a job
-NEWS_BYTES, REPORT_BYTES = 600, 96  # delivered bytes, for each own job, of least news and of reports
-LEAST_BYTES = 16  # as so many a datagram is charged at least
-NEWS_AFTER, NEWS_MOST = 0.02, 1.0  # seconds between news
-NEWS_SCARCE = 0.25  # seconds between news, at most, while slots are scarce
+REPORT_BYTES = 40  # delivered bytes of reports for each own job
+UNHEARD = 0.2  # seconds until dispatchers of a large group have heard of each other's sends
 CLAIM = 1.5  # claims on each slot seen free, by all dispatchers, until they hear of each other's
 CUT, STEP = 0.9, 0.1  # the fleet rate falls and rises by a tenth: it must come back as fast as it went
 FULL_SHARE = 0.1  # share of sends ending 'full' that cuts the rate: above chance, far below waste
@@ -139,8 +137,6 @@
     def __init__(self, settings: api.Settings, seed: int) -> None:
         self.settings = settings
         self.random = random.Random(seed)
-        self.incarnation = self.random.getrandbits(8)
-        self.sequence = 0
         self.now = 0.0
         self.tick = min([TICK_AFTER] + [c.deadline / 10 for c in settings.classes if c.deadline > 0])
         self.actions: list[api.Action] = []
@@ -161,16 +157,14 @@
         self.buckets: dict[tuple[int, int], _Bucket] = {}
         self.quota = [max(1.0, t.quota_rps / settings.group_size) for t in settings.tenants]  # in jobs
         self.longest = [0.0] * len(settings.classes)  # most time that a job of the class came with
-        self.fleet = Fleet(settings.group_size, settings.own_number, REPORT_AFTER)
+        incarnation = self.random.getrandbits(8)
+        self.fleet = Fleet(settings.group_size, settings.own_number, incarnation, REPORT_AFTER)
         self.many = settings.group_size > FEW
         self.by_key: dict[int, _Worker] = {}
-        self.news: list[tuple[int, int]] = []  # of own sends and their ends, not told yet
-        self.news_at = INF  # when to tell them
         self.report_after = REPORT_AFTER
-        self.news_after = NEWS_MOST / 2 if self.many else NEWS_AFTER
         self.part = 1 / settings.group_size  # of the fleet's demand that comes here
         self.rate = INF  # work a second that the fleet admits
-        self.sends = self.fulls = self.fleet_sends = 0
+        self.sends = self.fulls = 0
         self.send_rate = 0.0  # of all, a second
         self.started = self.controlled = self.reported = self.refilled = 0.0
         self.ask_at, self.ask_within = INF, ASK_SPREAD * settings.group_size
@@ -180,24 +174,23 @@
         self.actions = []
         if type(event) in self.HANDLERS:
             self.HANDLERS[type(event)](self, event)
-        if now >= self.news_at:
-            self.tell_news()
+        if self.settings.peers and self.fleet.mates:
+            self.tell()
         return self.actions
 
-    def tell_news(self) -> None:
-        self.sequence += 1
-        self.tell(peerwire.encode_news(peerwire.News(self.incarnation, self.sequence, self.news)))
-        self.news, self.news_at = [], INF
-
-    def tell(self, payload: bytes) -> None:
-        if self.settings.peers and self.fleet.mates:
-            to = sorted(self.fleet.mates) if self.fleet.circles > 1 else [-1]
-            self.actions += [api.Tell(payload, n) for n in to]
+    def tell(self) -> None:
+        self.fleet.turn(self.now)
+        if self.fleet.introduce:
+            self.fleet.introduce = False
+            self.fleet.report(self.own_report(0.0, []), -1 if self.fleet.hub is None else self.fleet.hub)
+        self.actions += [api.Tell(payload, number) for number, payload in self.fleet.outbox]
+        self.fleet.outbox.clear()
 
     # ---- membership ---------------------------------------------------------------------------------------
 
     def on_start(self, _event: api.Start) -> None:
         self.started = self.controlled = self.reported = self.refilled = self.now
+        self.fleet.start(self.now)
         self.actions.append(api.SetTimer(TICK, self.tick))
         self.actions.append(api.SetTimer(REPORT, REPORT_AFTER * self.random.random()))
         if self.many:  # a release restarts many at once, and discovery answers in turn, or not at all
@@ -319,8 +312,8 @@
             if self.rate > 1.2 * sum(demand.values()):
                 self.rate = INF
         self.part = self.own_part(demand)
-        self.send_rate = (self.sends + self.fleet_sends) / max(self.now - self.controlled, 0.1)
-        self.sends = self.fulls = self.fleet_sends = 0
+        self.send_rate = self.fleet.sends / max(self.now - self.controlled, 0.1)
+        self.sends = self.fulls = self.fleet.sends = 0
         self.controlled = self.now
         for worker in self.pool[-1]:
             worker.low_before, worker.low = worker.low, self.out(worker)
@@ -349,21 +342,16 @@
         """Send counts to the circle's peers, which stand for all, and reset them; a new bucket at once."""
         span = self.now - self.reported
         entries = [(*key, b.allowed, b.denied) for key, b in self.buckets.items() if b.allowed or b.denied]
-        self.sequence += 1
-        payload = self.own_report(span, entries)
-        self.tell(payload)
+        delivered = self.fleet.report(self.own_report(span, entries))
         if self.many:
             jobs = sum(allowed + denied for _, _, allowed, denied in entries) / self.mean_work
-            after = len(payload) * len(self.fleet.mates) * span / (REPORT_BYTES * max(jobs, 0.5))
+            after = delivered * span / (REPORT_BYTES * max(jobs, 0.5))
             self.report_after = min(max(REPORT_AFTER, (self.report_after + after) / 2), REPORT_MOST)
-            after = LEAST_BYTES * len(self.fleet.mates) * span / (NEWS_BYTES * max(jobs, 0.5))
-            self.news_after = min(max(NEWS_AFTER, (self.news_after + after) / 2), NEWS_MOST)
         self.fold(span)
 
-    def own_report(self, span: float, entries: list[tuple[int, int, float, float]]) -> bytes:
+    def own_report(self, span: float, entries: list[tuple[int, int, float, float]]) -> peerwire.Report:
         out = [(w.key, round(w.out)) for w in self.workers.values() if w.out >= 0.5]
-        return peerwire.encode(peerwire.Report(
-            self.incarnation, self.sequence, span, entries, list(self.limits.items()), out))
+        return peerwire.Report(0, 0, span, entries, list(self.limits.items()), out)
 
     def fold(self, span: float) -> None:
         self.reported = self.now
@@ -374,25 +362,19 @@
             bucket.allowed = bucket.denied = 0.0
 
     def on_peer(self, event: api.PeerMessage) -> None:
-        known = self.fleet.peers.get(event.peer)
-        told = self.fleet.hear(self.now, event.peer, event.payload)
-        if isinstance(told, peerwire.Report):
-            self.limits = {**dict(told.limits), **self.limits}
-            if self.fleet.peers[event.peer] is not known and self.settings.peers:  # it knows nothing yet
-                self.actions.append(api.Tell(self.own_report(0.0, []), event.peer))
-            return
-        for key, what in told.entries if told is not None else ():
-            self.fleet.note(event.peer, key, what)
-            self.fleet_sends += what == peerwire.SENT
-            worker = self.by_key.get(key)
+        for word in self.fleet.hear(self.now, event.peer, event.payload):
+            if isinstance(word, peerwire.Report):
+                self.limits = {**dict(word.limits), **self.limits}
+                continue
+            worker = self.by_key.get(word.key)
             if worker is None:
                 continue
             worker.low = min(worker.low, self.out(worker))
-            if what == peerwire.SERVED:
+            for _ in range(word.failures):
+                self.blame(worker, PEER_BLAME)
+            if word.served:
                 worker.last_sign = self.now
                 self.praise(worker, PEER_BLAME)
-            elif what == peerwire.FAILED:
-                self.blame(worker, PEER_BLAME)
 
     # ---- placement ----------------------------------------------------------------------------------------
 
@@ -448,7 +430,7 @@
 
     def out(self, worker: _Worker) -> float:
         """Slots taken, as far as dispatchers have told; other circles are taken to be like the own."""
-        return worker.out + self.fleet.standing * self.fleet.out[worker.key]
+        return worker.out + self.fleet.others(worker.key, worker.out)
 
     def limit(self, worker: _Worker) -> float:
         """Slots that fit: as it taught or, in a large group, where each is met seldom, as its kind did."""
@@ -466,7 +448,7 @@
             # each claims by chance, so that about one does. Slots that own jobs leave are claimed at once.
             room = sum(max(0.0, self.limit(w) - self.out(w)) for w in self.pool[-1]
                        if not w.trial and not self.cold(w))
-            self.chance = min(1.0, CLAIM * room / max(self.send_rate * self.news_wait(), 1.0))
+            self.chance = min(1.0, CLAIM * room / max(self.send_rate * UNHEARD, 1.0))
 
     def learn_wait(self, attempt: _Attempt) -> None:
         """A job that had to wait where a slot seemed free, or did not where none was, moves the threshold."""
@@ -556,17 +538,9 @@
     def count(self, sends: int, fulls: int) -> None:
         self.sends, self.fulls = self.sends + sends, self.fulls + fulls
 
-    def news_wait(self) -> float:
-        return max(self.news_after * min(1.0, 2 * self.chance), min(self.news_after, NEWS_SCARCE))
-
-    def note(self, news: list[tuple[int, int]]) -> None:
-        if news and not self.news:
-            self.news_at = self.now + self.news_wait()
-        self.news += news
-
     def send(self, request: _Request, worker: _Worker) -> None:
         self.count(1, 0)
-        self.note([(worker.key, peerwire.SENT)] * round(request.slots))
+        self.fleet.note(self.now, worker.key, peerwire.SENT, round(request.slots))
         if worker.out == 0:
             worker.last_sign = self.now
         worker.out += request.slots
@@ -671,10 +645,10 @@
                 self.count(0, 1)
                 worker.benched_until = max(worker.benched_until, self.now + self.tick)
             worker.limit = max(1.0, min(self.limit(worker), out))
-        silent = self.now - worker.last_sign > UNNOTICED
+        doubted = self.now - worker.last_sign > UNNOTICED or worker.fail > PEER_BLAME / 2
         if outcome == api.NO_CONNECTION:  # open ones may be used: it may be full of them, or slow to open
             worker.connect_after = self.now + BENCH_FIRST * (0.75 + 0.5 * self.random.random())
-        failed = outcome == api.ERROR or outcome == api.NO_CONNECTION and silent
+        failed = outcome == api.ERROR or outcome == api.NO_CONNECTION and doubted
         if outcome == api.RESET:
             # A connection may break under one job while the worker serves the others: two without a sign of
             # life between them are its fault. When it is down, the next connection says so at no cost.
@@ -795,8 +769,7 @@
         failed = worker.fail > before or event.outcome == api.RESET
         served = event.outcome == api.SERVED
         what = peerwire.SERVED if served else peerwire.FAILED if failed else peerwire.ENDED
-        self.note([(worker.key, what)] * round(request.slots))
-        self.news_at = self.now if what == peerwire.FAILED else self.news_at
+        self.fleet.note(self.now, worker.key, what, round(request.slots))
         self.let_go(worker)
         attempt.unrun = event.outcome in api.PROVEN_UNRUN
         if event.settled:
--- a/ospreyroute/fleet.py
+++ b/ospreyroute/fleet.py
@@ -1,21 +1,32 @@
-"""What the other dispatchers have told: who is there, what they ask for and have out. It decides nothing.
+"""What dispatchers tell each other: who is there, what is asked of them, what they have out. No decisions.
 
-A dispatcher hears its circle: all others in a group of up to 79, a part of a larger group that stands for the
-rest. News may be lost, repeated or overtaken, and a report mends what they left wrong. Times are arguments.
+In a small group each tells all others of each send and its end. In a larger one that would cost more than it
+is worth: one of them, the hub, is told, and tells all what has changed on a board: slots out by worker, in
+figures that a later board mends if one is lost. Whoever has heard no board for a while becomes the hub, lower
+numbers sooner; of two the higher gives way. Rarer reports of demand go to all. A group of 80 or more falls
+into circles, each of which stands for the rest. Times are arguments; what is to be sent lies in `outbox`.
 """
 
 from __future__ import annotations
 
-from collections import Counter
+from collections import Counter, deque
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 
 from . import peerwire
 
 INF = float("inf")
 CIRCLE = 40  # dispatchers that hear each other at least, where there are as many
+FEW = 8  # mates up to which each tells all others
 MEMORY = 4  # reports over which demand is smoothed, so that a lost one moves it little
-SILENT_REPORTS = 5  # reports missed before a peer's counts are dropped
+SILENT_REPORTS = 4  # reports missed before a peer's counts are dropped
 GHOST = 2.0  # seconds without a word from a peer after which its jobs count as over
+ALIVE = 0.8  # seconds after which who has nothing to tell says that it is there
+URGENT, PATIENT = 0.02, 0.1  # seconds that a send or a failure, and any other end, waits for company
+BOARD_AFTER, BOARD_LEAST = 0.1, 0.02  # seconds between boards, and at least when a worker has failed
+REFRESHED = 4  # entries told again with each board, in turn: they mend what was lost
+LAG = 0.15  # seconds after which an own send shows on the board
+NO_BOARD, STAGGER = 0.5, 0.03  # seconds without a board until the first, and each next one, becomes the hub
 
 
 @dataclass(slots=True)
@@ -27,42 +38,207 @@
     span: float = 0.0  # seconds between them
     demand: dict[tuple[int, int], float] = field(default_factory=dict)  # work a second by bucket
     admitted: float = 0.0
-    out: Counter[int] = field(default_factory=Counter)  # slots by key of a worker
+    out: Counter[int] = field(default_factory=Counter)  # slots by key of a worker, where it tells them here
+
+
+@dataclass(slots=True, frozen=True)
+class Word:
+    """What was heard of one worker: whether it served, and how often it was at fault."""
+
+    key: int
+    served: bool
+    failures: int
+
+
+class Board:
+    """What the hub has heard, until it is told to all."""
+
+    def __init__(self) -> None:
+        self.out: Counter[int] = Counter()  # slots of all, by key of a worker
+        self.sends = 0
+        self.changed: dict[int, None] = {}  # keys in the order of their first change
+        self.failures: Counter[int] = Counter()
+        self.served: set[int] = set()
+        self.told: dict[int, None] = {}  # keys, those told longest ago first
+
+    def add(self, key: int, by: int) -> None:
+        if by:
+            self.out[key] += by
+            self.changed[key] = None
+
+    def note(self, key: int, what: int) -> None:
+        self.changed[key] = None
+        self.sends += what == peerwire.SENT
+        if what == peerwire.FAILED:
+            self.failures[key] += 1
+        elif what == peerwire.SERVED:
+            self.served.add(key)
+
+    def page(self, incarnation: int, sequence: int) -> peerwire.Board:
+        """What has changed, as far as it fits, and a few that have not."""
+        keys = list(self.changed)[: peerwire.BOARD_MOST - REFRESHED]
+        for key in keys:
+            del self.changed[key]
+            self.told.pop(key, None)
+        again = list(self.told)[:REFRESHED]
+        for key in again:
+            del self.told[key]
+        entries = []
+        for key in keys + again:
+            self.told[key] = None
+            entries.append((key, self.out[key], self.failures.pop(key, 0), key in self.served))
+            self.served.discard(key)
+        sends, self.sends = self.sends, 0
+        return peerwire.Board(incarnation, sequence, sends, entries)
 
 
 class Fleet:
-    def __init__(self, group_size: int, own_number: int, report_after: float) -> None:
+    def __init__(self, group_size: int, own_number: int, incarnation: int, report_after: float) -> None:
         self.group_size = group_size
+        self.own_number = own_number
+        self.incarnation = incarnation
         self.report_after = report_after  # seconds between reports, at least
         self.circles = max(1, group_size // CIRCLE)
         circle = own_number * self.circles // group_size
-        self.mates = {n for n in range(group_size) if n * self.circles // group_size == circle} - {own_number}
+        members = [n for n in range(group_size) if n * self.circles // group_size == circle]
+        self.rank = members.index(own_number)
+        self.mates = [n for n in members if n != own_number]
+        self.everyone = [-1] if self.circles == 1 else self.mates
         self.standing = (group_size - 1) / max(1, len(self.mates))  # for how many dispatchers a mate stands
+        self.direct = len(self.mates) <= FEW
+        self.outbox: list[tuple[int, bytes]] = []  # to whom, -1 for all
+        self.sends = 0  # of the circle, as far as heard
         self.peers: dict[int, Peer] = {}
-        self.out: Counter[int] = Counter()  # slots that mates have out, by key of a worker
+        self.hub: int | None = None
+        self.introduce = False  # the hub, or a peer, is new and does not know what this one has out
+        self.board = Board()  # the own one: as the hub, or of what mates told directly
+        self.seen: Counter[int] = Counter()  # slots that the whole circle has out, by the hub's board
+        self._hub_heard = -INF
+        self._unseen: deque[tuple[float, int, int]] = deque()  # own changes that the board may not show yet
+        self._lately: Counter[int] = Counter()  # their sums by key
+        self._sequence = 0
+        self._news: list[tuple[int, int]] = []
+        self._news_at = INF
+        self._told_at = self._board_at = -INF
+
+    @property
+    def leads(self) -> bool:
+        return self.hub == self.own_number
+
+    def others(self, key: int, own: float) -> float:
+        """Slots that other dispatchers have out on a worker, on which this one has `own`."""
+        if self.direct or self.leads:
+            return self.standing * max(0.0, self.board.out[key] - own)
+        return self.standing * max(0.0, self.seen[key] + self._lately[key] - own)
 
-    def hear(self, now: float, number: int, payload: bytes) -> peerwire.News | peerwire.Report | None:
-        """Take in what is new and from the circle; None for all else, and news of a life not known yet."""
+    # ---- telling -------------------------------------------------------------------------------------------
+
+    def start(self, now: float) -> None:
+        self._hub_heard = self._told_at = now
+
+    def note(self, now: float, key: int, what: int, slots: int) -> None:
+        """An own send, or its end."""
+        by = slots if what == peerwire.SENT else -slots
+        self.sends += max(by, 0)
+        self.board.add(key, by)
+        if self.leads:
+            self.board.note(key, what)
+        else:
+            self._news += [(key, what)] * slots
+            self._unseen.append((now, key, by))
+            self._lately[key] += by
+        urgent = what in (peerwire.SENT, peerwire.FAILED)
+        self._news_at = min(self._news_at, now + (URGENT if urgent else PATIENT))
+
+    def report(self, report: peerwire.Report, to: int = -1) -> int:
+        """Tell all of the circle, or one; the bytes delivered."""
+        if to == self.own_number:  # a new hub hears of itself first
+            for key, slots in report.slots_out:
+                self.board.add(key, slots)
+            return 0
+        report.incarnation, report.sequence = self.incarnation, self._next()
+        payload = peerwire.encode(report)
+        self.outbox += [(n, payload) for n in (self.everyone if to < 0 else [to])]
+        return len(payload) * len(self.mates)
+
+    def turn(self, now: float) -> None:
+        """After each event: send what is due."""
+        while self._unseen and self._unseen[0][0] < now - LAG:
+            _, key, by = self._unseen.popleft()
+            self._lately[key] -= by
+        if self.leads:
+            self._tell_board(now)
+        elif not self.direct and now - self._hub_heard > NO_BOARD + STAGGER * self.rank:
+            self.hub, self.board = self.own_number, Board()
+            for peer in self.peers.values():
+                peer.out.clear()  # each will introduce itself
+            self.introduce = True
+        elif now >= self._news_at or not self.direct and now - self._told_at > ALIVE:
+            self._tell_news(now)
+
+    def _tell_news(self, now: float) -> None:
+        if self.hub is not None or self.direct:
+            news = peerwire.News(self.incarnation, self._next(), self._news)
+            payload = peerwire.encode_news(news)
+            self.outbox += [(n, payload) for n in (self.everyone if self.hub is None else [self.hub])]
+        self._news, self._news_at, self._told_at = [], INF, now
+
+    def _tell_board(self, now: float) -> None:
+        if now - self._board_at >= (BOARD_LEAST if self.board.failures else BOARD_AFTER):
+            payload = peerwire.encode_board(self.board.page(self.incarnation, self._next()))
+            self.outbox += [(n, payload) for n in self.everyone]
+            self._board_at = now
+
+    def _next(self) -> int:
+        self._sequence = (self._sequence + 1) & 0xFFFF
+        return self._sequence
+
+    # ---- hearing -------------------------------------------------------------------------------------------
+
+    def hear(self, now: float, number: int, payload: bytes) -> Iterator[Word | peerwire.Report]:
+        """Take in what is new and from the circle; each word is counted when it is asked for."""
         told = peerwire.decode(payload)
         if told is None or number not in self.mates:
-            return None
+            return
         peer = self.peers.get(number)
-        same = peer is not None and peer.incarnation == told.incarnation
-        if peer is None or not same:  # restarted: its old usage is not its own
-            if isinstance(told, peerwire.News):
-                return None
+        if peer is None or peer.incarnation != told.incarnation:  # restarted: its old usage is not its own
             self._replace_out(peer or Peer(), Counter())
             peer = self.peers[number] = Peer(told.incarnation, told.sequence - 1)
-        bits = 0xFF if isinstance(told, peerwire.News) else 0xFFFF
+            self.introduce = self.introduce or self.direct or number == self.hub
+        bits = 0xFFFF if isinstance(told, peerwire.Report) else 0xFF
         ahead = (told.sequence - peer.sequence) & bits
         if not 0 < ahead <= bits // 2:
-            return None  # repeated, or overtaken by a newer one
+            return  # repeated, or overtaken by a newer one
         peer.sequence, peer.heard = (peer.sequence + ahead) & 0xFFFF, now
         if isinstance(told, peerwire.Report):
-            self._report(peer, told)
-        return told
+            self._take_report(peer, told)
+            yield told
+        elif isinstance(told, peerwire.Board):
+            yield from self._read_board(now, number, told)
+        else:
+            for key, what in told.entries:
+                self.sends += what == peerwire.SENT
+                # Where the send that ended was in news that were lost, there is nothing to take off.
+                by = 1 if what == peerwire.SENT else max(-1, -peer.out[key])
+                peer.out[key] += by
+                self.board.add(key, by)
+                if self.leads:
+                    self.board.note(key, what)
+                yield Word(key, what == peerwire.SERVED, int(what == peerwire.FAILED))
 
-    def _report(self, peer: Peer, told: peerwire.Report) -> None:
+    def _read_board(self, now: float, number: int, told: peerwire.Board) -> Iterator[Word]:
+        if number != self.hub:
+            if self.hub is not None and self.hub < number and now - self._hub_heard <= NO_BOARD:
+                return  # it will give way
+            self.hub, self.introduce = number, True
+            self.seen.clear()
+        self._hub_heard = now
+        self.sends += told.sends
+        for key, slots, failures, served in told.entries:
+            self.seen[key] = slots
+            yield Word(key, served, failures)
+
+    def _take_report(self, peer: Peer, told: peerwire.Report) -> None:
         whole = max(peer.known + told.span, 1e-3)
         peer.demand = {key: rate * peer.known / whole for key, rate in peer.demand.items()}
         for tenant, cls, allowed, denied in told.buckets:
@@ -70,19 +246,12 @@
         peer.admitted = smooth(peer.admitted, sum(b[2] for b in told.buckets), told.span, peer.known)
         peer.span = max(self.report_after, told.span)
         peer.known = min(MEMORY * peer.span, peer.known + told.span)
-        self._replace_out(peer, Counter(dict(told.slots_out)))
-
-    def note(self, number: int, key: int, what: int) -> None:
-        """One entry of the news of that peer: they are noted one by one, in their order."""
-        peer = self.peers[number]
-        # Where the send that ended was in news that were lost, there is nothing to take off.
-        by = 1 if what == peerwire.SENT else max(-1, -peer.out[key])
-        peer.out[key] += by
-        self.out[key] += by
+        if self.direct or self.leads:
+            self._replace_out(peer, Counter(dict(told.slots_out)))
 
     def _replace_out(self, peer: Peer, out: Counter[int]) -> None:
-        self.out.subtract(peer.out)
-        self.out.update(out)
+        for key in {*peer.out, *out}:
+            self.board.add(key, out[key] - peer.out[key])
         peer.out = out
 
     def forget_silent(self, now: float) -> None:
@@ -92,6 +261,8 @@
             if peer.out and now - peer.heard > GHOST:
                 self._replace_out(peer, Counter())
 
+    # ---- the whole group -----------------------------------------------------------------------------------
+
     @property
     def all_heard(self) -> bool:
         return len(self.peers) == len(self.mates)
--- a/ospreyroute/peerwire.py
+++ b/ospreyroute/peerwire.py
@@ -1,9 +1,10 @@
 """Bytes of what dispatchers tell each other: versioned, 256 bytes at most, big-endian.
 
-News are short and frequent: what was sent to which worker, and how it ended. A report is rarer and whole:
-the work admitted and denied in each bucket since the sender's last report, what a worker of each kind was
-found to hold, and the sender's slots out on each worker, which mends what lost news left wrong. Workers are
-named by a key of 14 bits; two workers with one key count for each other, which is harmless while it is rare.
+News are short and frequent: what was sent to which worker, and how it ended. A board is a hub's sum of them:
+slots out by worker, and how each has done. A report is rarer: the work admitted and denied in each bucket
+since the sender's last report, what a worker of each kind was found to hold, and the sender's slots out on
+each worker, which mends what lost news left wrong. Workers are named by a key of 14 bits; two workers with
+one key count for each other, which is harmless while it is rare.
 `decode` answers None to whatever is foreign, truncated or of another version; whether it is stale is for its
 receiver, which compares incarnation and sequence.
 """
@@ -15,13 +16,16 @@
 from dataclasses import dataclass, field
 
 MAX_BYTES = 256
-NEWS, REPORT = 0x73, 0x74  # magic and version in one
+NEWS, REPORT, BOARD = 0x73, 0x74, 0x75  # magic and version in one
 # What news tell: a send, its good end, an end by the worker's fault, any other end.
 SENT, SERVED, FAILED, ENDED = range(4)
 KEYS = 1 << 14
 _NEWS = struct.Struct(">BBB")
 _REPORT = struct.Struct(">BBHHBBB")
 _KIND = struct.Struct(">BB")
+_BOARD = struct.Struct(">BBBB")
+_ENTRY = struct.Struct(">HB")  # key, then slots out, failures and served in 5, 2 and 1 bits
+BOARD_MOST = (MAX_BYTES - _BOARD.size) // _ENTRY.size
 _BUCKET = struct.Struct(">BBBB")
 _WORKER = struct.Struct(">HB")
 _STEP = math.log(1.1)  # a count of work takes one byte: from 0.05 s on in steps of a tenth, to 1.6e9 s
@@ -35,10 +39,19 @@
     entries: list[tuple[int, int]] = field(default_factory=list)  # key of a worker, and what
 
 
+@dataclass(slots=True)
+class Board:
+    incarnation: int
+    sequence: int  # of 8 bits
+    sends: int  # of the whole circle since the last board, 255 at most
+    # Key of a worker, slots out on it (31 at most), its failures (3 at most), whether it served since then.
+    entries: list[tuple[int, int, int, bool]] = field(default_factory=list)
+
+
 @dataclass(slots=True)
 class Report:
     incarnation: int
-    sequence: int  # of 16 bits; its lower half orders it among the news
+    sequence: int  # of 16 bits; its lower half orders it among news and boards
     span: float  # seconds that the counts cover
     # tenant, class, work allowed, work denied
     buckets: list[tuple[int, int, float, float]] = field(default_factory=list)
@@ -62,6 +75,13 @@
     return head + struct.pack(f">{len(words)}H", *words)
 
 
+def encode_board(board: Board) -> bytes:
+    head = _BOARD.pack(BOARD, board.incarnation & 0xFF, board.sequence & 0xFF, min(255, board.sends))
+    return head + b"".join(
+        _ENTRY.pack(k, min(31, max(0, slots)) << 3 | min(3, failures) << 1 | served)
+        for k, slots, failures, served in board.entries[:BOARD_MOST])
+
+
 def encode(report: Report) -> bytes:
     limits = report.limits[:16]
     room = MAX_BYTES - _REPORT.size - len(limits) * _KIND.size
@@ -78,13 +98,17 @@
     return b"".join(parts)
 
 
-def decode(payload: bytes) -> News | Report | None:
+def decode(payload: bytes) -> News | Board | Report | None:
     if len(payload) > MAX_BYTES or len(payload) < _NEWS.size:
         return None
     if payload[0] == NEWS and len(payload) % 2:
         _, incarnation, sequence = _NEWS.unpack_from(payload)
         words = struct.unpack(f">{len(payload) // 2 - 1}H", payload[_NEWS.size:])
         return News(incarnation, sequence, [(word >> 2, word & 3) for word in words])
+    if payload[0] == BOARD and len(payload) % _ENTRY.size == _BOARD.size % _ENTRY.size:
+        _, incarnation, sequence, sends = _BOARD.unpack_from(payload)
+        pairs = _ENTRY.iter_unpack(payload[_BOARD.size:])
+        return Board(incarnation, sequence, sends, [(k, b >> 3, b >> 1 & 3, bool(b & 1)) for k, b in pairs])
     if payload[0] != REPORT or len(payload) < _REPORT.size:
         return None
     _, incarnation, sequence, span, kinds, buckets, workers = _REPORT.unpack_from(payload)
