Answer operators' calls at an address of their own; take workers out by hand, drain, resume

The module learns `api.Maintenance`: a worker out by hand keeps the one flag `listed` down whatever lists say. Figures are counted where a request gets its answer and where an attempt's last byte is written. An address in use ends the start with the key's name.

--- a/beaconhinge/__main__.py
+++ b/beaconhinge/__main__.py
@@ -20,6 +20,8 @@
 from .errors import Error
 from .net.discovery import Discovery
 from .net.frontend import Frontend
+from .net.management import CALLERS, Management
+from .net.operators import Operators
 from .net.peers import Peers
 from .net.sockets import Budget
 from .net.workers import Workers
@@ -39,11 +41,11 @@
     stats = Stats(clock.now, writer=_log_writer(ours, clock) if ours else None)
     wheel = Wheel(clock.now, stats.failure)
     core = Core(Dispatcher(config.settings, config.seed), wheel, stats)
-    budget = Budget(config.limits.sockets, config.limits.body_bytes)
+    budget = Budget(config.limits.sockets, config.limits.body_bytes, CALLERS + 1 if config.mgmt else 0)
     workers = Workers(config, core, wheel, budget, stats)
     discovery = Discovery(config, core, workers, wheel, stats)
     peers = Peers(config, core, wheel, stats)
-    requests = Requests(core, workers, wheel, stats, config.settings)
+    requests = Requests(core, workers, wheel, stats, config.settings, config.class_names)
     frontend = Frontend(config, requests, workers.news, lambda: bool(workers.workers), peers.others, wheel,
                         budget, stats)
     if ours and ours.progress.enabled:
@@ -73,6 +75,9 @@
     core.feed(api.Start())
     keeper = _keeper(ours, core, wheel, stats) if ours and ours.store.folder else None
     discovery.remembered()
+    if config.mgmt is not None:
+        operators = Operators(config, core, workers, requests, frontend)
+        Management(config.mgmt, operators.acts, wheel, stats).listen()
     frontend.listen()
     stats.log("started", name=config.name, listen=f"{config.listen[0]}:{config.listen[1]}",
               workers=len(workers.workers), sockets=config.limits.sockets)
@@ -80,7 +85,7 @@
     await stopping.wait()
     stats.log("stopping", owed=frontend.owing)
     peers.leave()
-    await frontend.drain()
+    await frontend.finish()
     if keeper is not None:
         await keeper.write()
         await keeper.store.close()
--- a/beaconhinge/config/platform.py
+++ b/beaconhinge/config/platform.py
@@ -59,13 +59,14 @@
     peers: tuple[Address, ...] = ()
     peers_all: Address | None = None
     known: Hosts | None = None
+    mgmt: Address | None = None  # where operators call
 
     def keyed(self, cls: int) -> bool:
         return self.settings.classes[cls].semantics == DEDUP
 
     def kept_until_restart(self, new: Config) -> list[str]:
         """Keys that differ in a configuration read again and count at the next start only."""
-        keys = ("name", "listen", "peer_listen", "limits", "settings")
+        keys = ("name", "listen", "mgmt", "peer_listen", "limits", "settings")
         names = ("class_names", "tenant_names", "zones", "kinds", "report_names")
         changed = {key for key in (*keys, *names) if getattr(self, key) != getattr(new, key)}
         return [key for key in keys if key in changed or key == "settings" and changed & set(names)]
@@ -82,7 +83,7 @@
         raise ConfigError(f"RELAY_CONFIG: cannot read {path}: {error}") from None
     if not isinstance(content, dict):
         raise ConfigError("RELAY_CONFIG: the file must hold one JSON object")
-    given = {key: environment[f"RELAY_{key.upper()}"] for key in ("name", "listen", "discovery")
+    given = {key: environment[f"RELAY_{key.upper()}"] for key in ("name", "listen", "discovery", "mgmt")
              if environment.get(f"RELAY_{key.upper()}")}
     return parse({**given, **content})
 
@@ -130,6 +131,7 @@
         peers=tuple(address(text, f"peers.{i}") for i, text in enumerate(peers)),
         peers_all=_address(content, "peers_all") if content.get("peers_all") is not None else None,
         known=hosts,
+        mgmt=_address(content, "mgmt") if content.get("mgmt") is not None else None,
     )
 
 
--- /dev/null
+++ b/beaconhinge/management/calls.py
@@ -0,0 +1,58 @@
+"""The operators' calls: one line in, one answer out. Pure.
+
+A line is a call's name and, where the call has one, a worker's id, parted by blanks. An answer starts with
+`SUCCESS` or `FAILURE`; what `show-stat` shows ends with a line `EOT`.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+READY, SHOW_STAT, DRAIN, RESUME = "ready", "show-stat", "drain", "resume"
+DISABLE, ENABLE = "disable-server", "enable-server"
+WORDS = {READY: 0, SHOW_STAT: 0, DRAIN: 0, RESUME: 0, DISABLE: 1, ENABLE: 1}  # beside the name
+MAX_LINE = 512  # bytes
+
+
+class BadCall(Exception):
+    """A line that is no call; the text says what is wrong."""
+
+
+@dataclass(slots=True, frozen=True)
+class Call:
+    name: str
+    server: str = ""
+
+
+def parse(line: bytes) -> Call:
+    """Raises BadCall. The line may end in CR, LF, both or nothing."""
+    if len(line) > MAX_LINE:
+        raise BadCall(f"the line is over {MAX_LINE} bytes")
+    text = line.rstrip(b"\r\n")
+    if not text.isascii() or not text.decode("ascii").isprintable():
+        raise BadCall("the line is no printable text")
+    words = text.decode("ascii").split()
+    if not words:
+        raise BadCall(f"no call; known are {', '.join(WORDS)}")
+    name, *rest = words
+    if name not in WORDS:
+        raise BadCall(f"{name[:40]}: no such call; known are {', '.join(WORDS)}")
+    if len(rest) < WORDS[name]:
+        raise BadCall(f"{name}: a worker's id is missing")
+    if len(rest) > WORDS[name]:
+        raise BadCall(f"{name}: {rest[WORDS[name]][:40]} is one word too many")
+    return Call(name, *rest)
+
+
+def success(text: str = "") -> bytes:
+    return f"SUCCESS {text}".rstrip().encode() + b"\n"
+
+
+def failure(why: str) -> bytes:
+    """One line, whatever the text: it may quote what a caller sent."""
+    return b"FAILURE " + why.encode("ascii", "backslashreplace").replace(b"\n", b" ") + b"\n"
+
+
+def shown(text: str) -> bytes:
+    """An answer that shows something: the last line tells that it is whole."""
+    return success() + text.encode() + b"\nEOT\n"
--- /dev/null
+++ b/beaconhinge/management/figures.py
@@ -0,0 +1,37 @@
+"""The figures that `show-stat` shows. Pure; each is counted where its thing happens, by this name."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterable, Mapping
+
+from ospreyroute.decide import Dispatcher
+
+SUCCESS, BUSY, FAILURE, BACKEND_CALLS = "success", "busy", "failure", "backend_calls"
+KINDS = (SUCCESS, BUSY, FAILURE, BACKEND_CALLS)
+
+
+def counter(kind: str, cls: str) -> str:
+    """The name in `Stats.counters`."""
+    return f"{kind}_{cls}"
+
+
+def show(counters: Mapping[str, int], classes: Iterable[str], inflight: int, listed: int, down: int) -> str:
+    """One line of JSON. Every class of the settings appears."""
+    calls = {cls: {kind: counters.get(counter(kind, cls), 0) for kind in KINDS} for cls in classes}
+    return json.dumps({"calls": calls, "inflight": inflight, "hosts_listed": listed, "hosts_down": down},
+                      separators=(",", ":"))
+
+
+def down(dispatcher: Dispatcher, listed: Iterable[int], now: float) -> int:
+    """Of the listed workers, by number, those that get no jobs now: taken out by hand, leaving, benched, or
+    silent while they have jobs.
+    """
+    found = 0
+    for number in listed:
+        worker = dispatcher.workers.get(number)
+        if worker is None:
+            continue
+        benched = worker.trial and now < worker.benched_until
+        found += not worker.listed or benched or dispatcher.silent(worker)
+    return found
--- a/beaconhinge/net/frontend.py
+++ b/beaconhinge/net/frontend.py
@@ -30,13 +30,15 @@
 FIRST_MESSAGE = 2.5  # seconds from connecting to the end of the first: who never sends one holds a socket
 FRESH = 0.1  # seconds in which a connection that is new, or has had its answer, may have a request on the way
 FOR_WORKERS = 0.25  # part of the sockets that clients leave to connections to workers
-PART_AFTER = 0.45  # seconds after SIGTERM: clients keep coming for 0.4, then idle ones are closed
+PART_AFTER = 0.45  # seconds after SIGTERM or `drain`: clients keep coming for 0.4, then idle ones are closed
 REFUSE_AFTER = 0.15  # seconds after that: what was on its way has come
 KILL_AFTER = 0.7  # seconds after SIGTERM, beside the longest deadline or LONGEST: then it may be killed
 LONGEST = 3.0
 ANSWER_BEFORE = 0.2  # seconds before that, by which whatever is taken after SIGTERM has its answer
 ALONE_BEFORE = 1.2  # seconds before that, when clients are parted with though nobody else was heard
 LOOK = 0.02
+REFUSE_DRAINED = 1.9  # seconds after `drain`: who holds a job from the last 2 s is told to go 4 s after it
+ALONE_DRAINED = 1.2  # seconds after `drain`, when clients are parted with though nobody else was heard
 UP, NEWS = "/up", "/_jobs/news"
 
 
@@ -67,6 +69,7 @@
         self.stats = stats
         self.streams: Streams | None = None  # answers as streams, where they are configured
         self.draining = self.parting = self.refusing = False
+        self._leaving: asyncio.Task[None] | None = None
         self.answer_by = math.inf
         self.peers: dict[_Peer, None] = {}  # in the order of their last use
         self.unheard: dict[_Peer, None] = {}  # those that have sent no whole message, in the order they came
@@ -80,7 +83,7 @@
     # ---- connections ---------------------------------------------------------------------------------------
 
     def listen(self) -> None:
-        self._listener = tcp_listener(self.config.listen)
+        self._listener = tcp_listener(self.config.listen, "listen")
         self._accepting = self.stats.spawn(self._accept(self._listener), "accept")
 
     async def _accept(self, listener: socket.socket) -> None:
@@ -200,7 +203,7 @@
         # An answer to HEAD has no body; ours have one, so the connection ends with it lest it be misread.
         close = self.parting or not message.keep_alive or message.method == "HEAD"
         if path == UP and message.method == "GET":
-            up = self.ready() and not self.draining
+            up = self.serving
             return response(200 if up else 503, b"up\n" if up else b"not ready\n", close=close), close
         if self.streams is not None and message.method == "GET" and path.startswith("/jobs/"):
             close = close or peer.connection.version != "1.1"
@@ -220,10 +223,10 @@
             self.stats.complain("client_request_refused", status=error.status, why=error)
             return _problem(error.status, str(error), close), close
         if self.refusing or job.remaining <= 0:
-            return written(Answer(REFUSED, retry_after=self.config.settings.max_retry_after), True), True
+            return written(self.requests.turn_away(job), True), True
         if self.requests.full:
             self.stats.complain("requests_over_limit", held=len(self.requests.in_hand))
-            return written(Answer(REFUSED, retry_after=self.config.settings.max_retry_after), close), close
+            return written(self.requests.turn_away(job), close), close
         if self.streams is not None and self.streams.asked_for(message):
             close = close or peer.connection.version != "1.1"  # which knows no chunks
             outcome = await self.streams.answer(peer.connection, job, close)
@@ -283,18 +286,51 @@
 
     # ---- the end -------------------------------------------------------------------------------------------
 
-    async def drain(self) -> None:
-        """Serve what still comes, part with clients, and return once all is answered."""
-        longest = max(cls.deadline for cls in self.config.settings.classes)
-        end = self.wheel.now() + min(longest or LONGEST, LONGEST) + KILL_AFTER
-        self.draining, self.answer_by = True, end - ANSWER_BEFORE
+    @property
+    def serving(self) -> bool:
+        """What `GET /up` and the operators' `ready` say."""
+        return self.ready() and not self.draining
+
+    def drain(self) -> None:
+        """Send clients away, and stay: what is in work is answered, and call-backs still come in."""
+        if not self.draining:
+            self.draining = True
+            self._leaving = self.stats.spawn(self._stay_away(self.wheel.now()), "drain")
+
+    async def _stay_away(self, since: float) -> None:
+        await self._leave(since + ALONE_DRAINED)
+        while True:
+            await asyncio.sleep(LOOK)
+            self.refusing = self.wheel.now() >= since + REFUSE_DRAINED
+            self._close_idle_clients()
+
+    def resume(self) -> None:
+        self._end_drain()
+        self.draining = self.parting = self.refusing = False
+
+    def _end_drain(self) -> None:
+        if self._leaving is not None:
+            self._leaving.cancel()
+            self._leaving = None
+
+    async def _leave(self, part_by: float) -> None:
+        """The way out for both `drain` and the end: serve as usual while the front still sends, then part."""
         await asyncio.sleep(PART_AFTER)
         # In a rolling restart the dispatcher before this one may not be back yet: clients parted with then
         # found nobody. The connections that they hold are served until somebody else is there.
-        while not self.others() and self.wheel.now() < end - ALONE_BEFORE:
+        while not self.others() and self.wheel.now() < part_by:
             await asyncio.sleep(LOOK)
         self.parting = True
         self._close_idle_clients()
+
+    async def finish(self) -> None:
+        """Serve what still comes, part with clients, and return once all is answered."""
+        longest = max(cls.deadline for cls in self.config.settings.classes)
+        end = self.wheel.now() + min(longest or LONGEST, LONGEST) + KILL_AFTER
+        self._end_drain()  # one that has not parted yet starts again: there is time for it
+        self.draining, self.answer_by = True, end - ANSWER_BEFORE
+        if not self.parting:
+            await self._leave(end - ALONE_BEFORE)
         await asyncio.sleep(REFUSE_AFTER)
         self._close_idle_clients()
         self.refusing = True
--- /dev/null
+++ b/beaconhinge/net/management.py
@@ -0,0 +1,98 @@
+"""The address where operators call: sockets apart from the clients', with descriptors set aside for them."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Callable
+from functools import partial
+
+from ..config import Address
+from ..management import calls
+from ..management.calls import BadCall, Call
+from ..stats import Stats
+from ..wheel import Wheel
+from .sockets import tcp_listener
+
+CALLERS = 12  # descriptors set aside; with as many callers the one that has been silent longest goes
+WHOLE = 5.0  # seconds that a caller has for its line: some keep a connection 4 s without one
+ANSWER = 1.0  # seconds it has to take the answer, and to close
+
+
+class Management:
+    """`acts` names what each call does: given a worker's id or nothing, it answers whole bytes."""
+
+    def __init__(self, address: Address, acts: dict[str, Callable[[Call], bytes]], wheel: Wheel,
+                 stats: Stats) -> None:
+        self.address = address
+        self.acts = acts
+        self.wheel = wheel
+        self.stats = stats
+        self._callers: dict[socket.socket, asyncio.Task[None]] = {}  # in the order they came
+
+    def listen(self) -> None:
+        self.stats.spawn(self._accept(tcp_listener(self.address, "mgmt")), "management")
+
+    async def _accept(self, listener: socket.socket) -> None:
+        while True:
+            try:
+                sock, _ = await asyncio.get_running_loop().sock_accept(listener)
+            except OSError as error:  # the caller has left again, or descriptors are short after all
+                self.stats.complain("management_accept_failed", why=error)
+                await asyncio.sleep(0.01)
+                continue
+            if len(self._callers) >= CALLERS:  # a whole call is answered at once: the first has not made one
+                self._part(next(iter(self._callers)))
+            sock.setblocking(False)
+            task = self._callers[sock] = self.stats.spawn(self._serve(sock), "management call")
+            task.add_done_callback(partial(self._done, sock))
+
+    def _part(self, sock: socket.socket) -> None:
+        self.stats.count("management_callers_parted")
+        try:
+            sock.send(calls.failure("too many callers; this one had made no call yet"))
+        except OSError:
+            pass
+        self._callers.pop(sock).cancel()
+
+    async def _serve(self, sock: socket.socket) -> None:
+        loop = asyncio.get_running_loop()
+        try:
+            async with self.wheel.limit(WHOLE):
+                line = await self._line(sock)
+            if not line:
+                return
+            async with self.wheel.limit(ANSWER):
+                await loop.sock_sendall(sock, self._answer(line))
+                sock.shutdown(socket.SHUT_WR)
+                while await loop.sock_recv(sock, 1024):  # closing on unread bytes would reset the answer away
+                    pass
+        except OSError:  # a time-out is one too
+            pass
+
+    def _done(self, sock: socket.socket, _task: asyncio.Task[None]) -> None:
+        self._callers.pop(sock, None)  # not in `_serve`: who is parted with may never have got that far
+        sock.close()
+
+    async def _line(self, sock: socket.socket) -> bytes:
+        """Up to the end of the line or of the stream; one byte over the bound is enough to refuse it."""
+        line = b""
+        while b"\n" not in line and len(line) <= calls.MAX_LINE:
+            part = await asyncio.get_running_loop().sock_recv(sock, calls.MAX_LINE + 2)
+            if not part:
+                break
+            line += part
+        first, end, _ = line.partition(b"\n")
+        return first + end
+
+    def _answer(self, line: bytes) -> bytes:
+        try:
+            call = calls.parse(line)
+            self.stats.count("management_calls")
+            return self.acts[call.name](call)
+        except BadCall as why:
+            self.stats.complain("management_call_refused", why=why)
+            return calls.failure(str(why))
+        except Exception as error:  # a defect here: the operator hears of it too
+            self.stats.failure("management call", error)
+            return calls.failure("internal error")
--- a/beaconhinge/net/sockets.py
+++ b/beaconhinge/net/sockets.py
@@ -6,16 +6,22 @@
 import socket
 from collections.abc import Callable
 
+from ..errors import Error
+
 SPARE = 24  # descriptors for standard streams, event loop, listener, datagrams and discovery
 
 
+class Unavailable(Error):
+    """An address that cannot be listened on; the text names its key."""
+
+
 class Budget:
     """Counts sockets in use, and bytes of bodies. When sockets are short, idle connections are closed first,
     by whoever holds them.
     """
 
-    def __init__(self, sockets: int, body_bytes: int) -> None:
-        self.total = sockets - SPARE
+    def __init__(self, sockets: int, body_bytes: int, aside: int = 0) -> None:
+        self.total = sockets - SPARE - aside
         self.used = 0
         self.body_bytes = body_bytes  # room left for bodies
         self.reclaimers: list[Callable[[], bool]] = []  # each closes one idle connection, if it has one
@@ -44,12 +50,17 @@
         await self._freed.wait()
 
 
-def tcp_listener(address: tuple[str, int]) -> socket.socket:
+def tcp_listener(address: tuple[str, int], key: str) -> socket.socket:
+    """Raises Unavailable, which names the configuration's `key`."""
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     sock.setblocking(False)
-    sock.bind(address)
-    sock.listen(1024)
+    try:
+        sock.bind(address)
+        sock.listen(1024)
+    except OSError as error:
+        sock.close()
+        raise Unavailable(f"{key}: {address[0]}:{address[1]}: {error.strerror}") from None
     return sock
 
 
--- a/beaconhinge/net/workers.py
+++ b/beaconhinge/net/workers.py
@@ -11,7 +11,8 @@
 
 from ..config import Config
 from ..core import Core
-from ..inventory import Host, Hosts
+from ..inventory import Host, Hosts, worker_number
+from ..management.figures import BACKEND_CALLS, counter
 from ..request import Attempt
 from ..stats import Stats
 from ..wheel import Wheel
@@ -75,6 +76,12 @@
                 self.disconnect(host.member.worker)
             worker.host = host
 
+    def number_of(self, host_id: str) -> int | None:
+        """The number of a listed worker."""
+        number = worker_number(host_id)
+        worker = self.workers.get(number)
+        return number if worker is not None and worker.host.id == host_id else None
+
     def _forget(self, number: int) -> None:
         self.disconnect(number)
         self.workers.pop(number, None)
@@ -186,6 +193,7 @@
                 headers["Idempotency-Key"] = job.dedup_key
             await connection.send(http1.request("POST", job.target, headers, carried.body))
             written = True
+            self.stats.count(counter(BACKEND_CALLS, self.config.class_names[job.cls]))
             message = await connection.next()
         except (OSError, TimeoutError, Closed, BadMessage) as error:
             # Whether the last byte was written decides whether the job may have run. It is not sent again
--- a/beaconhinge/request.py
+++ b/beaconhinge/request.py
@@ -3,17 +3,20 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
 from typing import Protocol, TypeAlias
 
 from ospreyroute import api
 
 from .core import Core
+from .management import figures
 from .stats import Stats
 from .wheel import Timer, Wheel
 
 REFUSED, FAILED, GONE = "refused", "failed", "gone"  # besides api.SERVED: the ends of a request
+# One whose client left is in no figure.
+FIGURE = {api.SERVED: figures.SUCCESS, REFUSED: figures.BUSY, FAILED: figures.FAILURE}
 
 
 @dataclass(slots=True)
@@ -134,7 +137,8 @@
     """All requests in hand."""
 
     def __init__(self, core: Core, carrier: Carrier, wheel: Wheel, stats: Stats,
-                 settings: api.Settings) -> None:
+                 settings: api.Settings, class_names: Sequence[str]) -> None:
+        self.class_names = class_names
         self.core = core
         self.carrier = carrier
         self.wheel = wheel
@@ -147,6 +151,16 @@
     def full(self) -> bool:
         return len(self.in_hand) >= self.settings.max_held
 
+    @property
+    def owed(self) -> int:
+        """Jobs taken whose end has not come yet."""
+        return sum(not request.answer.done() for request in self.in_hand.values())
+
+    def turn_away(self, job: Job) -> Answer:
+        """Refuse a job without the module's word: there is no room for it, or no time."""
+        self.stats.count(figures.counter(figures.BUSY, self.class_names[job.cls]))
+        return Answer(REFUSED, retry_after=self.settings.max_retry_after)
+
     def take(self, job: Job, watcher: Watcher | None = None) -> Request:
         # Numbers stay under 2^32 like the simulator's; the module adds to them for its timers.
         self._last = self._last % 0xFFFF0000 + 1
@@ -257,4 +271,6 @@
         self.answer.set_result(answer)
         self.job.body = b""  # attempts under way hold it as long as they need it
         self.all.stats.count("answer_" + answer.end)
+        if answer.end in FIGURE:
+            self.all.stats.count(figures.counter(FIGURE[answer.end], self.all.class_names[self.job.cls]))
         return True
--- a/ospreyroute/api.py
+++ b/ospreyroute/api.py
@@ -243,6 +243,14 @@
     members: list[Member] = field(default_factory=list)
 
 
+@dataclass(slots=True)
+class Maintenance:
+    """Operators take a worker out, or put it back, whatever lists say. Not on the simulator's wire."""
+
+    worker: int
+    out: bool
+
+
 @dataclass(slots=True)
 class Job:
     """A request has arrived and waits for its one final answer, `remaining` seconds at most."""
@@ -314,8 +322,8 @@
 
 
 Event: TypeAlias = (
-    Start | Membership | Job | Notice | StreamStarted | Outcome | ClientGone | PeerMessage | ProbeResult
-    | Timer
+    Start | Membership | Maintenance | Job | Notice | StreamStarted | Outcome | ClientGone | PeerMessage
+    | ProbeResult | Timer
 )
 
 # ---- actions ------------------------------------------------------------------------------------------
--- a/ospreyroute/decide.py
+++ b/ospreyroute/decide.py
@@ -63,7 +63,8 @@
     cell: int = 0
     zone: int = 0
     started_at: float = 0.0
-    listed: bool = False
+    up: bool = False  # by the list's word
+    listed: bool = False  # may have jobs: up, and not taken out by hand
     idle: list[float] = field(default_factory=list)  # own idle connections, by the time of their last use
     connect_after: float = 0.0  # no new connection before
     out: float = 0.0  # own slots out
@@ -161,6 +162,7 @@
         self.fleet = Fleet(settings.group_size, settings.own_number, incarnation, REPORT_AFTER)
         self.many = settings.group_size > FEW
         self.by_key: dict[int, _Worker] = {}
+        self.by_hand: dict[int, float] = {}  # workers taken out by hand, and their start as known then
         self.report_after = REPORT_AFTER
         self.part = 1 / settings.group_size  # of the fleet's demand that comes here
         self.rate = INF  # work a second that the fleet admits
@@ -215,8 +217,8 @@
         if event.how != api.CHANGES:
             named = {m.worker for m in event.members}
             for worker in self.workers.values():
-                if worker.listed and worker.id not in named:
-                    worker.listed = False
+                if worker.up and worker.id not in named:
+                    worker.up = worker.listed = False
                     self.let_go(worker)
         for m in event.members:
             worker = self.workers.setdefault(m.worker, _Worker(m.worker, peerwire.key(m.worker)))
@@ -225,13 +227,32 @@
                 worker.bench_over = 0.0
             worker.kind, worker.cell, worker.zone = m.kind, m.cell, m.zone
             worker.started_at = max(m.started_at, worker.started_at)
-            worker.listed = m.status == api.UP
+            worker.up = m.status == api.UP
+            worker.listed = worker.up and worker.id not in self.by_hand
             self.let_go(worker)
+        if event.how != api.REMEMBERED and self.settings.subscribe:
+            self.ask_at, self.ask_within = INF, ASK_SPREAD * self.settings.group_size
+        self.relist()
+
+    def on_maintenance(self, event: api.Maintenance) -> None:
+        """Out by hand, a worker is as one that drains. Back, its past is void and it counts as cold: the list
+        may not have told yet of a restart meanwhile.
+        """
+        worker = self.workers.setdefault(event.worker, _Worker(event.worker, peerwire.key(event.worker)))
+        if event.out:
+            self.by_hand.setdefault(worker.id, worker.started_at)
+        elif worker.id in self.by_hand:
+            known = self.by_hand.pop(worker.id)
+            worker.started_at = worker.started_at if worker.started_at > known else self.now
+            worker.fail, worker.trial, worker.benched_until, worker.bench_over = 0.0, False, 0.0, 0.0
+        worker.listed = worker.up and worker.id not in self.by_hand
+        self.let_go(worker)
+        self.relist()
+
+    def relist(self) -> None:
         self.by_key = {w.key: w for w in self.workers.values()}
         listed = [w for w in self.workers.values() if w.listed]
         self.pool = {k: [w for w in listed if k in (-1, w.kind)] for k in (-1, *{w.kind for w in listed})}
-        if event.how != api.REMEMBERED and self.settings.subscribe:
-            self.ask_at, self.ask_within = INF, ASK_SPREAD * self.settings.group_size
         self.serve_held()
 
     def let_go(self, worker: _Worker) -> None:
@@ -838,7 +859,8 @@
             self.copy_stranded()
 
     HANDLERS: ClassVar[dict[type, Callable[..., None]]] = {
-        api.Start: on_start, api.Membership: on_membership, api.Job: on_job, api.Outcome: on_outcome,
+        api.Start: on_start, api.Membership: on_membership, api.Maintenance: on_maintenance,
+        api.Job: on_job, api.Outcome: on_outcome,
         api.Notice: on_notice, api.StreamStarted: on_gone, api.ClientGone: on_gone,
         api.PeerMessage: on_peer, api.Timer: on_timer,
     }  # fmt: skip
