Show the figures as bare JSON before EOT, with the attempts once beside the classes

So the reader wants the JSON first, and `backend_calls` beside `inflight`. Ruled out: wrong counts, since all that was read was true (untrue: attempts alone).

Changed: `calls.shown` and `figures.show`.

--- a/beaconhinge/management/calls.py
+++ b/beaconhinge/management/calls.py
@@ -1,7 +1,7 @@
 """The operators' calls: one line in, one answer out. Pure.
 
 A line is a call's name and, where the call has one, a worker's id, parted by blanks. An answer starts with
-`SUCCESS` or `FAILURE`; what `show-stat` shows ends with a line `EOT`.
+`SUCCESS` or `FAILURE`; that of `show-stat` is the figures and a line `EOT` in place of this.
 """
 
 from __future__ import annotations
@@ -54,5 +54,5 @@
 
 
 def shown(text: str) -> bytes:
-    """An answer that shows something: the last line tells that it is whole."""
-    return success() + text.encode() + b"\nEOT\n"
+    """An answer that shows something stands by itself: the last line tells that it is whole."""
+    return text.encode() + b"\nEOT\n"
--- a/beaconhinge/management/figures.py
+++ b/beaconhinge/management/figures.py
@@ -7,8 +7,8 @@
 
 from ospreyroute.decide import Dispatcher
 
-SUCCESS, BUSY, FAILURE, BACKEND_CALLS = "success", "busy", "failure", "backend_calls"
-KINDS = (SUCCESS, BUSY, FAILURE, BACKEND_CALLS)
+SUCCESS, BUSY, FAILURE = "success", "busy", "failure"  # by class
+BACKEND_CALLS = "backend_calls"
 
 
 def counter(kind: str, cls: str) -> str:
@@ -18,9 +18,10 @@
 
 def show(counters: Mapping[str, int], classes: Iterable[str], inflight: int, listed: int, down: int) -> str:
     """One line of JSON. Every class of the settings appears."""
-    calls = {cls: {kind: counters.get(counter(kind, cls), 0) for kind in KINDS} for cls in classes}
-    return json.dumps({"calls": calls, "inflight": inflight, "hosts_listed": listed, "hosts_down": down},
-                      separators=(",", ":"))
+    calls = {cls: {kind: counters.get(counter(kind, cls), 0) for kind in (SUCCESS, BUSY, FAILURE)}
+             for cls in classes}
+    return json.dumps({"calls": calls, BACKEND_CALLS: counters.get(BACKEND_CALLS, 0), "inflight": inflight,
+                       "hosts_listed": listed, "hosts_down": down}, separators=(",", ":"))
 
 
 def down(dispatcher: Dispatcher, listed: Iterable[int], now: float) -> int:
--- a/beaconhinge/net/workers.py
+++ b/beaconhinge/net/workers.py
@@ -12,7 +12,7 @@
 from ..config import Config
 from ..core import Core
 from ..inventory import Host, Hosts, worker_number
-from ..management.figures import BACKEND_CALLS, counter
+from ..management.figures import BACKEND_CALLS
 from ..request import Attempt
 from ..stats import Stats
 from ..wheel import Wheel
@@ -193,7 +193,7 @@
                 headers["Idempotency-Key"] = job.dedup_key
             await connection.send(http1.request("POST", job.target, headers, carried.body))
             written = True
-            self.stats.count(counter(BACKEND_CALLS, self.config.class_names[job.cls]))
+            self.stats.count(BACKEND_CALLS)
             message = await connection.next()
         except (OSError, TimeoutError, Closed, BadMessage) as error:
             # Whether the last byte was written decides whether the job may have run. It is not sent again
