--- /dev/null
+++ b/tests/test_http1.py
@@ -0,0 +1,69 @@
+"""Messages come in pieces of any size, and mean the same."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import random
+import socket
+from typing import Any
+
+import pytest
+import uvloop
+
+from beaconhinge.net.http1 import BadMessage, Closed, Connection
+
+WHOLE = [
+    b"POST /render?part=1 HTTP/1.1\r\nHost: x\r\nX-Request-ID:\t r1 \t\r\nX-Tenant-Id:  two words  \r\n"
+    b"X-Empty: \r\nX-Attrs: a=1\r\nX-Attrs: b=2\r\nContent-Length: 4 \r\n\r\nwork",
+    b"POST /render HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nwo\r\n2;x=y\r\nrk\r\n0\r\nT: u\r\n\r\n",
+    b"GET /up HTTP/1.1\r\nHost: x\r\nConnection: close \r\n\r\n",
+]
+FAULTY = [b"POST /render HTTP/1.1\r\nContent-Length: four\r\n\r\n", b"GET /up HTTP/1.1\r\nX" + b"y" * 20000,
+          b"POST / HTTP/1.1\r\nContent-Length: 70000 \r\n\r\n", b"\x00\x01\x02\r\n\r\n"]
+
+
+async def told(data: bytes, cuts: list[int]) -> list[Any]:
+    """What is read of these bytes, written in pieces that end at the cuts."""
+    near, far = socket.socketpair()
+    near.setblocking(False)
+    far.setblocking(False)
+    connection, seen = Connection(near, requests=True, closed=lambda: None), []
+    write = asyncio.ensure_future(_write(far, [data[a:b] for a, b in zip([0, *cuts], [*cuts, None], strict=True)]))
+    try:
+        while True:
+            seen.append(dataclasses.asdict(await connection.next()))
+    except BadMessage as error:
+        seen.append(error.status)
+    except Closed:
+        seen.append("end")
+    write.cancel()
+    far.close()
+    connection.close()
+    return seen
+
+
+async def _write(sock: socket.socket, pieces: list[bytes]) -> None:
+    for piece in pieces:
+        await asyncio.get_running_loop().sock_sendall(sock, piece)
+        await asyncio.sleep(0)  # the reader has its turn before the next piece
+    sock.shutdown(socket.SHUT_WR)
+
+
+@pytest.mark.parametrize("data", [*WHOLE, WHOLE[0] + WHOLE[1] + WHOLE[2], *FAULTY], ids=range(8))
+def test_pieces_of_any_size_are_read_as_the_whole(data: bytes) -> None:
+    async def compare() -> None:
+        whole, draw = await told(data, []), random.Random(5)
+        if len(data) < 1000:
+            assert await told(data, list(range(1, len(data)))) == whole
+        for _ in range(20):
+            assert await told(data, sorted(draw.sample(range(1, len(data)), 5))) == whole
+
+    uvloop.run(compare())
+
+
+def test_blanks_around_a_value_are_none_of_it() -> None:
+    message = uvloop.run(told(WHOLE[0], []))[0]
+    assert message["headers"] == {"host": "x", "x-request-id": "r1", "x-tenant-id": "two words", "x-empty": "",
+                                  "x-attrs": "a=1, b=2", "content-length": "4"}
+    assert message["body"] == b"work"
