--- a/beaconhinge/net/http1.py
+++ b/beaconhinge/net/http1.py
@@ -79,7 +79,7 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         if self._in_head:  # trailers are not asked for and passed over
             headers, key = self._message.headers, name.decode("latin-1").lower()
-            text = value.decode("latin-1").strip(" \t")  # blanks around a value are none of it (RFC 9110, 5.5)
+            text = value.decode("latin-1").strip(" \t")  # blanks around are none of it: RFC 9110, 5.5
             headers[key] = f"{headers[key]}, {text}" if key in headers else text
 
     def on_headers_complete(self) -> None:
