--- a/beaconhinge/__main__.py
+++ b/beaconhinge/__main__.py
@@ -7,6 +7,7 @@
 import signal
 import sys
 from collections.abc import Callable, Mapping
+from pathlib import Path
 from typing import TYPE_CHECKING
 
 import uvloop
@@ -23,7 +24,8 @@
 from .net.management import CALLERS, Management
 from .net.operators import Operators
 from .net.peers import Peers
-from .net.sockets import Budget
+from .net.sockets import SPARE, Budget
+from .net.upgrade import Upgrade
 from .net.workers import Workers
 from .request import Requests
 from .stats import Stats
@@ -34,20 +36,28 @@
     from .config.ours import Ours
 
 
-async def serve(reader: Callable[[], Config], ours: Ours | None = None) -> None:
+async def serve(reader: Callable[[], Config], ours: Ours | None = None, shared: Path | None = None) -> None:
+    """`shared`: the folder in which a process leaves word for the one that will replace it."""
     config = reader()
     loop = asyncio.get_running_loop()
     clock = Clock()
     stats = Stats(clock.now, writer=_log_writer(ours, clock) if ours else None)
     wheel = Wheel(clock.now, stats.failure)
     core = Core(Dispatcher(config.settings, config.seed), wheel, stats)
-    budget = Budget(config.limits.sockets, config.limits.body_bytes, CALLERS + 1 if config.mgmt else 0)
+    # Beside the callers' descriptors a second process needs its own to start with.
+    aside = 2 * (CALLERS + 1) + SPARE if config.mgmt else 0
+    budget = Budget(config.limits.sockets, config.limits.body_bytes, aside)
     workers = Workers(config, core, wheel, budget, stats)
     discovery = Discovery(config, core, workers, wheel, stats)
     peers = Peers(config, core, wheel, stats)
     requests = Requests(core, workers, wheel, stats, config.settings, config.class_names)
     frontend = Frontend(config, requests, workers.news, lambda: bool(workers.workers), peers.others, wheel,
                         budget, stats)
+    operators = Operators(config, core, workers, requests, frontend)
+    upgrade = None
+    if config.mgmt is not None and shared is not None:
+        upgrade = Upgrade(config, config.mgmt, shared, core, workers, discovery, peers, frontend, operators,
+                          budget, wheel, stats)
     if ours and ours.progress.enabled:
         from .net.streams import Streams
 
@@ -71,14 +81,20 @@
         loop.add_signal_handler(number, stopping.set)
     loop.add_signal_handler(signal.SIGUSR1, stats.report)
     loop.add_signal_handler(signal.SIGHUP, reload)
+    inherited = await upgrade.inherit() if upgrade is not None else None
     peers.listen()
     core.feed(api.Start())
+    if upgrade is not None and inherited is not None:
+        upgrade.restore(inherited)
     keeper = _keeper(ours, core, wheel, stats) if ours and ours.store.folder else None
     discovery.remembered()
-    if config.mgmt is not None:
-        operators = Operators(config, core, workers, requests, frontend)
-        Management(config.mgmt, operators.acts, wheel, stats).listen()
     frontend.listen()
+    if upgrade is not None:
+        await upgrade.serving()
+    if config.mgmt is not None:
+        management = Management(config.mgmt, operators.acts, wheel, stats)
+        management.adopt = upgrade.adopt if upgrade is not None else None
+        management.listen()
     stats.log("started", name=config.name, listen=f"{config.listen[0]}:{config.listen[1]}",
               workers=len(workers.workers), sockets=config.limits.sockets)
 
@@ -132,7 +148,8 @@
             ours = read(environment["BEACONHINGE_CONFIG"])
             if ours.platform.config:
                 environment = {**environment, "RELAY_CONFIG": ours.platform.config}
-        uvloop.run(serve(lambda: load(environment), ours))
+        shared = Path(environment["TMPDIR"]) if environment.get("TMPDIR") else None
+        uvloop.run(serve(lambda: load(environment), ours, shared))
     except ConfigError as error:
         print(f"beaconhinge: {error}", file=sys.stderr)
         return 2
--- a/beaconhinge/inventory.py
+++ b/beaconhinge/inventory.py
@@ -63,6 +63,17 @@
                 self.dropped(f"{type(error).__name__}: {error}")
         return hosts
 
+    def write(self, version: int, hosts: Sequence[Host]) -> dict[str, Any]:
+        """The whole list in discovery's form, as `read` takes it."""
+        zones = {number: name for name, number in self.zones.items()}
+        kinds = {number: name for name, number in self.kinds.items()}
+        states = {state: name for name, state in STATES.items()}
+        return {"version": version, "full": True, "servers": [
+            {"id": host.id, "addr": f"{host.address[0]}:{host.address[1]}",
+             "state": states[host.member.status], "zone": zones.get(host.member.zone),
+             "kind": kinds.get(host.member.kind), "cell": host.member.cell, "weight": host.member.weight,
+             "started_ms": host.member.started_at * 1000} for host in hosts]}
+
     def _host(self, entry: Any) -> Host:
         name = entry["id"]
         if not isinstance(name, str) or not name:
--- a/beaconhinge/management/calls.py
+++ b/beaconhinge/management/calls.py
@@ -10,7 +10,10 @@
 
 READY, SHOW_STAT, DRAIN, RESUME = "ready", "show-stat", "drain", "resume"
 DISABLE, ENABLE = "disable-server", "enable-server"
-WORDS = {READY: 0, SHOW_STAT: 0, DRAIN: 0, RESUME: 0, DISABLE: 1, ENABLE: 1}  # beside the name
+TAKE_OVER = "take-over"  # between two processes of one dispatcher
+# What each call needs beside its name.
+WORDS = {READY: "", SHOW_STAT: "", DRAIN: "", RESUME: "", DISABLE: "a worker's id", ENABLE: "a worker's id",
+         TAKE_OVER: "the word that a process has left"}
 MAX_LINE = 512  # bytes
 
 
@@ -21,7 +24,7 @@
 @dataclass(slots=True, frozen=True)
 class Call:
     name: str
-    server: str = ""
+    word: str = ""
 
 
 def parse(line: bytes) -> Call:
@@ -37,10 +40,11 @@
     name, *rest = words
     if name not in WORDS:
         raise BadCall(f"{name[:40]}: no such call; known are {', '.join(WORDS)}")
-    if len(rest) < WORDS[name]:
-        raise BadCall(f"{name}: a worker's id is missing")
-    if len(rest) > WORDS[name]:
-        raise BadCall(f"{name}: {rest[WORDS[name]][:40]} is one word too many")
+    wanted = 1 if WORDS[name] else 0
+    if len(rest) < wanted:
+        raise BadCall(f"{name}: {WORDS[name]} is missing")
+    if len(rest) > wanted:
+        raise BadCall(f"{name}: {rest[wanted][:40]} is one word too many")
     return Call(name, *rest)
 
 
--- /dev/null
+++ b/beaconhinge/management/handover.py
@@ -0,0 +1,157 @@
+"""What one process of a dispatcher hands to the one that replaces it: a versioned form with a checksum. Pure.
+
+Beside the books (`beaconhinge.books`), which outlast a restart, it holds what only a process that goes on at
+once can use: what each worker has out and has taught, what peers were told last, and the list. Nothing
+of a torn, foreign or older form is used.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import json
+import struct
+from collections import Counter, deque
+from collections.abc import Iterator
+from typing import Any
+
+from ospreyroute import decide, fleet, peerwire
+from ospreyroute.decide import Dispatcher
+
+VERSION = 1
+AHEAD = 16  # numbers that the old process may have used up after it took the form
+MAX_FRAME = 8 * 1024 * 1024
+_HEAD = struct.Struct(">IB")
+_MAGIC = b"beaconhinge handover %d " % VERSION
+
+# Kinds of frames between the two processes.
+STATE, SERVING, PARTED, DONE, CALL_BACK, SLOTS, OUT, BACK, DRAIN, RESUME = range(1, 11)
+
+# Of a worker, by name: what it has taught and how it is judged. Times are Unix time, which both have.
+_WORKER = ("kind", "cell", "zone", "started_at", "up", "connect_after", "out", "low", "low_before", "limit",
+           "pace", "fail", "benched_until", "bench_for", "bench_over", "trial", "last_sign", "speed",
+           "speed_at")
+_BOOKS = ("rate", "part", "mean_work", "pace", "job_time", "fleet_speed", "report_after", "reported",
+          "refilled", "controlled", "sends", "fulls", "send_rate", "started")
+_BUCKET = ("allowed", "denied", "demand", "admitted", "tokens", "rate")
+_PEER = ("incarnation", "sequence", "heard", "known", "span", "admitted")
+
+
+class Unusable(Exception):
+    """A form, or a frame, that must not be used; the text says why."""
+
+
+def seal(content: dict[str, Any]) -> bytes:
+    body = json.dumps(content, separators=(",", ":")).encode()
+    return _MAGIC + hashlib.blake2s(body, digest_size=16).hexdigest().encode() + b"\n" + body
+
+
+def unseal(form: bytes) -> dict[str, Any]:
+    """Raises Unusable."""
+    head, _, body = form.partition(b"\n")
+    if not head.startswith(_MAGIC):
+        raise Unusable("foreign, or of another version")
+    if head[len(_MAGIC):] != hashlib.blake2s(body, digest_size=16).hexdigest().encode():
+        raise Unusable("torn: its checksum is wrong")
+    content = json.loads(body)
+    if not isinstance(content, dict):
+        raise Unusable("not an object")
+    return content
+
+
+def frame(kind: int, payload: bytes = b"") -> bytes:
+    return _HEAD.pack(len(payload), kind) + payload
+
+
+class Frames:
+    """Bytes in pieces of any size become frames."""
+
+    def __init__(self) -> None:
+        self._waiting = bytearray()
+
+    def feed(self, data: bytes) -> Iterator[tuple[int, bytes]]:
+        """Raises Unusable for one that is too long."""
+        self._waiting += data
+        while len(self._waiting) >= _HEAD.size:
+            length, kind = _HEAD.unpack_from(self._waiting)
+            if length > MAX_FRAME:
+                raise Unusable(f"a frame of {length} bytes")
+            if len(self._waiting) < _HEAD.size + length:
+                return
+            payload = bytes(self._waiting[_HEAD.size:_HEAD.size + length])
+            del self._waiting[:_HEAD.size + length]
+            yield kind, payload
+
+
+def take(module: Dispatcher) -> dict[str, Any]:
+    """What the module knows, without its jobs: these stay where they are. Changes nothing."""
+    classes = module.settings.classes
+    group = module.fleet
+    return {
+        "books": {name: getattr(module, name) for name in _BOOKS},
+        "quota": module.quota, "longest": module.longest,
+        "limits": list(module.limits.items()), "most_free": list(module.most_free.items()),
+        "by_hand": list(module.by_hand.items()),
+        "buckets": [[*key, [getattr(b, name) for name in _BUCKET]] for key, b in module.buckets.items()],
+        "workers": [[w.id, {name: getattr(w, name) for name in _WORKER}, list(w.sent),
+                     [[classes.index(cls), *until] for cls, until in w.barred.items()]]
+                    for w in module.workers.values()],
+        "fleet": {
+            "incarnation": group.incarnation, "sequence": group._sequence, "hub": group.hub,
+            "board": list(group.board.out.items()), "seen": list(group.seen.items()),
+            "hub_heard": group._hub_heard,
+            "peers": [[number, {name: getattr(p, name) for name in _PEER},
+                       [[*key, rate] for key, rate in p.demand.items()], list(p.out.items())]
+                      for number, p in group.peers.items()]},
+    }
+
+
+def restore(module: Dispatcher, content: dict[str, Any]) -> None:
+    """Into a module that has just been started. Raises Unusable, and has changed nothing then."""
+    try:
+        _restore(module, content)
+    except (KeyError, TypeError, ValueError, IndexError, AttributeError) as error:
+        raise Unusable(f"{type(error).__name__}: {error}") from None
+
+
+def _restore(module: Dispatcher, content: dict[str, Any]) -> None:
+    """Everything is made before anything is put in place."""
+    classes, group = module.settings.classes, module.fleet
+    books = {name: float(content["books"][name]) for name in _BOOKS}
+    quota, longest = [float(q) for q in content["quota"]], [float(s) for s in content["longest"]]
+    if len(quota) != len(module.quota) or len(longest) != len(classes):
+        raise ValueError("of other tenants or classes")
+    buckets = {(int(t), int(c)): decide._Bucket(*(float(v) for v in values))
+               for t, c, values in content["buckets"]}
+    workers = {}
+    for number, fields, sent, barred in content["workers"]:
+        worker = decide._Worker(int(number), peerwire.key(int(number)))
+        for name in _WORKER:
+            setattr(worker, name, type(getattr(worker, name))(fields[name]))
+        worker.sent = deque((float(at), float(load)) for at, load in sent)
+        worker.barred = {classes[cls]: (float(until), float(length)) for cls, until, length in barred}
+        workers[worker.id] = worker
+    told = content["fleet"]
+    peers = {}
+    for number, fields, demand, out in told["peers"]:
+        peer = fleet.Peer(int(fields["incarnation"]), int(fields["sequence"]), float(fields["heard"]),
+                          float(fields["known"]), float(fields["span"]))
+        peer.admitted = float(fields["admitted"])
+        peer.demand = {(int(t), int(c)): float(rate) for t, c, rate in demand}
+        peer.out = Counter({int(key): int(slots) for key, slots in out})
+        if number in group.mates:
+            peers[int(number)] = peer
+    board = Counter({int(key): int(slots) for key, slots in told["board"]})
+    seen = Counter({int(key): int(slots) for key, slots in told["seen"]})
+    hub = None if told["hub"] is None else int(told["hub"])
+    incarnation, sequence, heard = int(told["incarnation"]), int(told["sequence"]), float(told["hub_heard"])
+    limits = {int(kind): float(limit) for kind, limit in content["limits"]}
+    most_free = {int(kind): float(free) for kind, free in content["most_free"]}
+    by_hand = {int(number): float(since) for number, since in content["by_hand"]}
+
+    for name, value in books.items():
+        setattr(module, name, type(getattr(module, name))(value))
+    module.quota, module.longest, module.buckets, module.workers = quota, longest, buckets, workers
+    module.limits, module.most_free, module.by_hand = limits, most_free, by_hand
+    group.peers, group.board.out, group.seen, group.hub = peers, board, seen, hub
+    group.board.told = dict.fromkeys(board)  # all of it is told again in turn
+    group.incarnation, group._sequence, group._hub_heard = incarnation, (sequence + AHEAD) & 0xFFFF, heard
--- a/beaconhinge/net/discovery.py
+++ b/beaconhinge/net/discovery.py
@@ -47,6 +47,7 @@
         self.inventory = Inventory(config.zones, config.kinds,
                                    lambda why: stats.complain("list_entry_malformed", why=why))
         self.address = config.discovery
+        self.known = config.known or Hosts()
         self._wanted = False  # the module has subscribed
         self._watch: asyncio.Task[None] | None = None
         self._fetches: set[asyncio.Task[None]] = set()
@@ -54,8 +55,20 @@
         core.owners[api.Fetch] = lambda action: self._ask()
 
     def remembered(self) -> None:
-        """The module's first list is the one in the configuration, however old."""
-        self._tell(api.REMEMBERED, self.config.known or Hosts())
+        """The module's first list is the one in the configuration, however old, or what was inherited."""
+        self._tell(api.REMEMBERED, self.known)
+
+    def inherit(self, hosts: Hosts, here: bool) -> None:
+        """The list that this dispatcher's other process has. Versions count for one discovery alone: `here`
+        tells whether it was had from this one.
+        """
+        if not here:
+            self.version = None
+        elif self.version is not None and self.version > hosts.version:
+            return
+        else:
+            self.version = hosts.version
+        self.known = hosts
 
     def move(self, address: Address) -> None:
         """Ask elsewhere from now on. Versions count there by themselves, so that the whole list is asked for;
--- a/beaconhinge/net/frontend.py
+++ b/beaconhinge/net/frontend.py
@@ -18,7 +18,7 @@
 from ..stats import Stats
 from ..wheel import Wheel
 from .http1 import BadMessage, Closed, Connection, Message, response
-from .sockets import Budget, tcp_listener
+from .sockets import Budget, steer_to_second, tcp_listener
 
 if TYPE_CHECKING:
     from .streams import Streams
@@ -68,12 +68,12 @@
         self.budget = budget
         self.stats = stats
         self.streams: Streams | None = None  # answers as streams, where they are configured
-        self.draining = self.parting = self.refusing = False
+        self.draining = self.parting = self.refusing = self.ending = False
+        self.handed = False  # another process of this dispatcher has the door
         self._leaving: asyncio.Task[None] | None = None
         self.answer_by = math.inf
         self.peers: dict[_Peer, None] = {}  # in the order of their last use
         self.unheard: dict[_Peer, None] = {}  # those that have sent no whole message, in the order they came
-        self.most = min(int((1 - FOR_WORKERS) * budget.total), config.limits.connections)
         self.classes = {name: i for i, name in enumerate(config.class_names)}
         self.tenants = {name: i for i, name in enumerate(config.tenant_names)}
         self._listener: socket.socket | None = None
@@ -83,7 +83,7 @@
     # ---- connections ---------------------------------------------------------------------------------------
 
     def listen(self) -> None:
-        self._listener = tcp_listener(self.config.listen, "listen")
+        self._listener = tcp_listener(self.config.listen, "listen", self.config.mgmt is not None)
         self._accepting = self.stats.spawn(self._accept(self._listener), "accept")
 
     async def _accept(self, listener: socket.socket) -> None:
@@ -105,6 +105,12 @@
                 raise
             self._welcome(sock)
 
+    @property
+    def most(self) -> int:
+        """Connections that clients may have."""
+        limits = self.config.limits
+        return min(int((1 - FOR_WORKERS) * self.budget.total), int(limits.connections * self.budget.part))
+
     def _room(self) -> bool:
         """Take a socket for one more connection. Clients and workers' news come in by the same door: when
         the house is full, somebody who only stands there goes, or those would wait behind a crowd.
@@ -304,6 +310,33 @@
             self.refusing = self.wheel.now() >= since + REFUSE_DRAINED
             self._close_idle_clients()
 
+    async def let_go(self) -> None:
+        """Another process of this dispatcher listens here too: it gets whoever comes, and what waits in this
+        one's queue is taken before that is closed, or it would be reset.
+        """
+        self._end_drain()
+        self.handed = self.parting = True
+        self.draining = self.refusing = False
+        if self._listener is not None and not steer_to_second(self._listener):
+            self.stats.complain("steering_refused")
+        await asyncio.sleep(LOOK)
+        if self.handed:  # the other process may have died meanwhile
+            self._stop_listening()
+            self._leaving = self.stats.spawn(self._send_off(), "send off")
+
+    async def _send_off(self) -> None:
+        """Who has just come may be about to write; all others come again by the new process."""
+        while True:
+            self._close_idle_clients(heard=True)
+            await asyncio.sleep(LOOK)
+
+    def take_back(self) -> None:
+        """The other process has died."""
+        self._end_drain()
+        self.handed = self.parting = False
+        if self._listener is None:
+            self.listen()
+
     def resume(self) -> None:
         self._end_drain()
         self.draining = self.parting = self.refusing = False
@@ -327,6 +360,7 @@
         """Serve what still comes, part with clients, and return once all is answered."""
         longest = max(cls.deadline for cls in self.config.settings.classes)
         end = self.wheel.now() + min(longest or LONGEST, LONGEST) + KILL_AFTER
+        self.ending = True
         self._end_drain()  # one that has not parted yet starts again: there is time for it
         self.draining, self.answer_by = True, end - ANSWER_BEFORE
         if not self.parting:
@@ -342,8 +376,10 @@
         while self.owing:
             await asyncio.sleep(LOOK)
 
-    def _close_idle_clients(self) -> None:
+    def _close_idle_clients(self, heard: bool = False) -> None:
         for peer in [peer for peer in self.peers if peer.idle and not peer.tells_news]:
+            if heard and peer in self.unheard:
+                continue
             self._forget(peer)
             peer.connection.close()
 
--- a/beaconhinge/net/management.py
+++ b/beaconhinge/net/management.py
@@ -14,7 +14,7 @@
 from ..wheel import Wheel
 from .sockets import tcp_listener
 
-CALLERS = 12  # descriptors set aside; with as many callers the one that has been silent longest goes
+CALLERS = 8  # descriptors set aside; with as many callers the one that has been silent longest goes
 WHOLE = 5.0  # seconds that a caller has for its line: some keep a connection 4 s without one
 ANSWER = 1.0  # seconds it has to take the answer, and to close
 
@@ -28,7 +28,9 @@
         self.acts = acts
         self.wheel = wheel
         self.stats = stats
+        self.adopt: Callable[[str, socket.socket], str] | None = None  # a new process; says why not
         self._callers: dict[socket.socket, asyncio.Task[None]] = {}  # in the order they came
+        self._adopted: set[socket.socket] = set()
 
     def listen(self) -> None:
         self.stats.spawn(self._accept(tcp_listener(self.address, "mgmt")), "management")
@@ -60,10 +62,11 @@
         try:
             async with self.wheel.limit(WHOLE):
                 line = await self._line(sock)
-            if not line:
+            answer = self._answer(line, sock) if line else b""
+            if not answer:
                 return
             async with self.wheel.limit(ANSWER):
-                await loop.sock_sendall(sock, self._answer(line))
+                await loop.sock_sendall(sock, answer)
                 sock.shutdown(socket.SHUT_WR)
                 while await loop.sock_recv(sock, 1024):  # closing on unread bytes would reset the answer away
                     pass
@@ -72,7 +75,10 @@
 
     def _done(self, sock: socket.socket, _task: asyncio.Task[None]) -> None:
         self._callers.pop(sock, None)  # not in `_serve`: who is parted with may never have got that far
-        sock.close()
+        if sock in self._adopted:
+            self._adopted.remove(sock)
+        else:
+            sock.close()
 
     async def _line(self, sock: socket.socket) -> bytes:
         """Up to the end of the line or of the stream; one byte over the bound is enough to refuse it."""
@@ -85,11 +91,17 @@
         first, end, _ = line.partition(b"\n")
         return first + end
 
-    def _answer(self, line: bytes) -> bytes:
+    def _answer(self, line: bytes, sock: socket.socket) -> bytes:
+        """Nothing for a connection that another process of this dispatcher keeps."""
         try:
             call = calls.parse(line)
             self.stats.count("management_calls")
-            return self.acts[call.name](call)
+            if call.name != calls.TAKE_OVER:
+                return self.acts[call.name](call)
+            why = self.adopt(call.word, sock) if self.adopt is not None else "no place to leave word in"
+            if not why:
+                self._adopted.add(sock)
+            return calls.failure(f"{call.name}: {why}") if why else b""
         except BadCall as why:
             self.stats.complain("management_call_refused", why=why)
             return calls.failure(str(why))
--- a/beaconhinge/net/operators.py
+++ b/beaconhinge/net/operators.py
@@ -8,6 +8,7 @@
 
 from ..config import Config
 from ..core import Core
+from ..inventory import worker_number
 from ..management import calls, figures
 from ..management.calls import Call
 from ..request import Requests
@@ -24,14 +25,20 @@
         self.requests = requests
         self.frontend = frontend
         self.out: dict[str, int] = {}  # workers out by hand, by id: they may leave the list meanwhile
+        self.replaces: Callable[[], bool] = lambda: True  # whether a process before this one may be ended
+        self.others: Callable[[Call], None] = lambda call: None  # the other process of an upgrade hears too
         self.acts: dict[str, Callable[[Call], bytes]] = {
             calls.READY: self._ready, calls.SHOW_STAT: self._show_stat, calls.DISABLE: self._disable,
             calls.ENABLE: self._enable, calls.DRAIN: self._drain, calls.RESUME: self._resume,
         }
 
     def _ready(self, _call: Call) -> bytes:
-        if self.frontend.serving:
+        if not self.replaces():
+            return calls.failure("the process before still has jobs")
+        if self.frontend.serving and not self.frontend.handed:
             return calls.success("ready")
+        if self.frontend.handed:
+            return calls.failure("another process has taken over")
         return calls.failure("drained" if self.frontend.draining else "no list of workers yet")
 
     def _show_stat(self, _call: Call) -> bytes:
@@ -41,30 +48,40 @@
                                         len(listed), down))
 
     def _disable(self, call: Call) -> bytes:
-        number = self.out.get(call.server, self.workers.number_of(call.server))
-        if number is None:
-            return calls.failure(f"{call.server}: no such worker in the list")
-        if call.server not in self.out:
-            self.out[call.server] = number
-            self.core.stats.log("worker_out", worker=call.server)
-            self.core.feed(api.Maintenance(number, True))
-        return calls.success(f"{call.server} is out")
+        if call.word not in self.out and not self.workers.lists(call.word):
+            return calls.failure(f"{call.word}: no such worker in the list")
+        self.apply(call.word, True)
+        self.others(call)
+        return calls.success(f"{call.word} is out")
 
     def _enable(self, call: Call) -> bytes:
-        number = self.out.pop(call.server, None)
-        if number is not None:
-            self.core.stats.log("worker_back", worker=call.server)
-            self.core.feed(api.Maintenance(number, False))
-        elif self.workers.number_of(call.server) is None:
-            return calls.failure(f"{call.server}: no such worker in the list")
-        return calls.success(f"{call.server} is in")
+        if call.word not in self.out and not self.workers.lists(call.word):
+            return calls.failure(f"{call.word}: no such worker in the list")
+        self.apply(call.word, False)
+        self.others(call)
+        return calls.success(f"{call.word} is in")
 
-    def _drain(self, _call: Call) -> bytes:
+    def apply(self, host_id: str, out: bool) -> None:
+        """Twice out is out once."""
+        if out == (host_id in self.out):
+            return
+        if out:
+            self.out[host_id] = worker_number(host_id)
+        else:
+            del self.out[host_id]
+        self.core.stats.log("worker_out" if out else "worker_back", worker=host_id)
+        self.core.feed(api.Maintenance(worker_number(host_id), out))
+
+    def _drain(self, call: Call) -> bytes:
         self.core.stats.log("drained")
-        self.frontend.drain()
+        if not self.frontend.handed:
+            self.frontend.drain()
+        self.others(call)
         return calls.success("drains")
 
-    def _resume(self, _call: Call) -> bytes:
+    def _resume(self, call: Call) -> bytes:
         self.core.stats.log("resumed")
-        self.frontend.resume()
+        if not self.frontend.handed:
+            self.frontend.resume()
+        self.others(call)
         return calls.success("serves")
--- a/beaconhinge/net/peers.py
+++ b/beaconhinge/net/peers.py
@@ -39,13 +39,24 @@
             return
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._sock.setblocking(False)
+        if self.config.mgmt is not None:  # another process of this dispatcher may be there already
+            self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
         self._sock.bind(self.config.peer_listen)
+        self._leaving = False
         asyncio.get_running_loop().add_reader(self._sock, self._read)
 
     def leave(self) -> None:
         """Tell nothing more, so that no other dispatcher counts on this one."""
         self._leaving = True
 
+    def let_go(self) -> None:
+        """Another process of this dispatcher hears and tells from now on."""
+        self.leave()
+        if self._sock is not None:
+            asyncio.get_running_loop().remove_reader(self._sock)
+            self._sock.close()
+            self._sock = None
+
     def others(self) -> bool:
         """Whether another dispatcher was heard lately; where they cannot be heard, whether there are any."""
         if self._sock is None:
--- a/beaconhinge/net/sockets.py
+++ b/beaconhinge/net/sockets.py
@@ -4,10 +4,13 @@
 
 import asyncio
 import socket
+import struct
+from array import array
 from collections.abc import Callable
 
 from ..errors import Error
 
+SO_ATTACH_REUSEPORT_CBPF, BPF_RETURN = 51, 0x06  # Linux, asm-generic/socket.h and bpf_common.h
 SPARE = 24  # descriptors for standard streams, event loop, listener, datagrams and discovery
 
 
@@ -21,7 +24,9 @@
     """
 
     def __init__(self, sockets: int, body_bytes: int, aside: int = 0) -> None:
-        self.total = sockets - SPARE - aside
+        self._sockets = self.total = sockets - SPARE - aside
+        self._bodies = body_bytes
+        self.part = 1.0
         self.used = 0
         self.body_bytes = body_bytes  # room left for bodies
         self.reclaimers: list[Callable[[], bool]] = []  # each closes one idle connection, if it has one
@@ -34,6 +39,11 @@
         self.body_bytes -= count
         return True
 
+    def limit_to(self, part: float) -> None:
+        """The other process of this dispatcher has the rest, or has ended. What is held beyond is kept."""
+        self.body_bytes += int(part * self._bodies) - int(self.part * self._bodies)
+        self.part, self.total = part, int(part * self._sockets)
+
     def take(self) -> bool:
         while self.used >= self.total:
             if not any(reclaim() for reclaim in self.reclaimers):
@@ -50,10 +60,12 @@
         await self._freed.wait()
 
 
-def tcp_listener(address: tuple[str, int], key: str) -> socket.socket:
-    """Raises Unavailable, which names the configuration's `key`."""
+def tcp_listener(address: tuple[str, int], key: str, shared: bool = False) -> socket.socket:
+    """Raises Unavailable, which names the configuration's `key`. Two processes may listen on a shared one."""
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    if shared:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
     sock.setblocking(False)
     try:
         sock.bind(address)
@@ -64,6 +76,19 @@
     return sock
 
 
+def steer_to_second(listener: socket.socket) -> bool:
+    """Lead new connections at a shared address to the socket that listened second there, so that nobody comes
+    to the first any more. While there is but one, the program names none and the kernel chooses.
+    """
+    instruction = array("B", struct.pack("@HBBI", BPF_RETURN, 0, 0, 1))
+    program = struct.pack("@HP", 1, instruction.buffer_info()[0])
+    try:
+        listener.setsockopt(socket.SOL_SOCKET, SO_ATTACH_REUSEPORT_CBPF, program)
+    except OSError:  # then the kernel shares them out, and the first takes its part until it closes
+        return False
+    return True
+
+
 async def connect(address: tuple[str, int]) -> socket.socket:
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     try:
--- /dev/null
+++ b/beaconhinge/net/upgrade.py
@@ -0,0 +1,315 @@
+"""Replacing the process under load: the two processes of one dispatcher find each other, and one takes over.
+
+The one that serves leaves word in `$TMPDIR` where it can be called. The new one calls there, is given what
+the other knows, opens the shared addresses and says so; the other then lets go of them. Until it has ended,
+call-backs that reach the wrong one are passed on, and the slots of its jobs are told.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import secrets
+import socket
+import struct
+from collections import Counter
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+from ospreyroute import api
+
+from ..config import Address, Config, ConfigError
+from ..config.platform import address
+from ..core import Core
+from ..inventory import InventoryError
+from ..management import calls, handover
+from ..management.calls import Call
+from ..management.handover import Unusable
+from ..stats import Stats
+from ..wheel import Wheel
+from .discovery import Discovery
+from .frontend import Frontend
+from .operators import Operators
+from .peers import Peers
+from .sockets import Budget, connect
+from .workers import Workers
+
+ANSWER = 1.0  # seconds that the process that serves has for each of its two answers
+READY_BY = 4.5  # seconds after its start, of 6, by which a new process says that it is ready
+LOOK = 0.05
+TELL_SLOTS = 0.05  # seconds between looks at the own slots out, while the other process wants to know
+SHARE = 0.5  # of sockets and bodies for each of the two
+_SLOTS = struct.Struct(">Id")
+
+
+class Link:
+    """The connection between the two processes. `took` gets each frame, `lost` is called once at its end."""
+
+    def __init__(self, sock: socket.socket, stats: Stats) -> None:
+        self.sock = sock
+        self.stats = stats
+        self.frames = handover.Frames()
+        self.waiting: list[tuple[int, bytes]] = []  # read, and not yet taken
+        self._out: asyncio.Queue[bytes] = asyncio.Queue()
+
+    async def first(self) -> tuple[int, bytes]:
+        """Raises OSError, or Unusable."""
+        while not self.waiting:
+            data = await asyncio.get_running_loop().sock_recv(self.sock, 65536)
+            if not data:
+                raise ConnectionError("the other process ended the connection")
+            self.waiting += self.frames.feed(data)
+        return self.waiting.pop(0)
+
+    def start(self, took: Callable[[int, bytes], None], lost: Callable[[], None]) -> None:
+        self._took, self._lost = took, lost
+        self._writing = self.stats.spawn(self._write(), "link")
+        self.stats.spawn(self._read(), "link")
+
+    def send(self, kind: int, payload: bytes = b"") -> None:
+        self._out.put_nowait(handover.frame(kind, payload))
+
+    async def _read(self) -> None:
+        try:
+            while True:
+                self._took(*await self.first())
+        except OSError:
+            pass
+        except Unusable as why:
+            self.stats.complain("handover_unusable", why=why)
+        except Exception as error:  # a defect here: the other process goes on by itself
+            self.stats.failure("link", error)
+        self._end()
+
+    async def _write(self) -> None:
+        with contextlib.suppress(OSError):  # the reader notices as well
+            while True:
+                await asyncio.get_running_loop().sock_sendall(self.sock, await self._out.get())
+
+    def _end(self) -> None:
+        self._writing.cancel()
+        self.sock.close()
+        self._lost()
+
+
+class Upgrade:
+    def __init__(self, config: Config, mgmt: Address, shared: Path, core: Core, workers: Workers,
+                 discovery: Discovery, peers: Peers, frontend: Frontend, operators: Operators, budget: Budget,
+                 wheel: Wheel, stats: Stats) -> None:
+        self.mgmt = mgmt
+        self.core = core
+        self.workers = workers
+        self.discovery = discovery
+        self.peers = peers
+        self.frontend = frontend
+        self.operators = operators
+        self.budget = budget
+        self.wheel = wheel
+        self.stats = stats
+        self.word = shared / f"beaconhinge-{config.listen[0]}-{config.listen[1]}.json"
+        self.token = secrets.token_hex(16)
+        self.before: Link | None = None  # to the process that this one replaces
+        self.after: Link | None = None  # to the one that replaces this one
+        self._ready_at = wheel.now() + READY_BY
+        self._parted = asyncio.Event()
+        self._done = False  # the one before owes nothing any more
+        self._inherited: Counter[int] = Counter()  # slots out by the one before, by worker
+        self._told: Counter[int] = Counter()  # own slots out, as the one after knows them
+        workers.elsewhere = self._pass_on
+        operators.others = self._tell_operators
+        operators.replaces = lambda: self.ready
+
+    @property
+    def ready(self) -> bool:
+        """Whether the process before may be ended: it owes nothing any more, or this one waits no longer."""
+        return self.before is None or self._done or self.wheel.now() >= self._ready_at
+
+    # ---- the new process -----------------------------------------------------------------------------------
+
+    async def inherit(self) -> dict[str, Any] | None:
+        """What the process that serves hands over. None if there is no such process, or, with a line that
+        says why, if it does not answer: then this one starts from nothing.
+        """
+        try:
+            found = json.loads(self.word.read_bytes())
+            where, token = address(found["mgmt"], "mgmt"), found["token"]
+        except FileNotFoundError:
+            return None
+        except (OSError, ValueError, TypeError, KeyError, ConfigError) as error:
+            self.stats.complain("handover_unusable", why=f"{self.word.name}: {type(error).__name__}: {error}")
+            return None
+        sock = None
+        try:
+            async with self.wheel.limit(ANSWER):
+                sock = await connect(where)
+                link = Link(sock, self.stats)
+                await asyncio.get_running_loop().sock_sendall(sock, f"{calls.TAKE_OVER} {token}\n".encode())
+                kind, form = await link.first()
+            if kind != handover.STATE:
+                raise Unusable(f"a frame of kind {kind}")
+            content = handover.unseal(form)
+        except (OSError, Unusable, ValueError, RecursionError) as error:
+            if sock is not None:
+                sock.close()
+            # Left over by a process that was killed: nobody is there to be called.
+            self.stats.complain("handover_unusable", why=f"{type(error).__name__}: {error}")
+            return None
+        self.before = link
+        return content
+
+    def restore(self, content: dict[str, Any]) -> None:
+        """After the module's start and before its first list."""
+        try:
+            hosts = self.discovery.inventory.read(content["list"])
+            out = {str(name): int(number) for name, number in content["out"].items()}
+            versioned = tuple(content["discovery"]) == self.discovery.address
+            handover.restore(self.core.dispatcher, content["module"])
+        except (Unusable, InventoryError, KeyError, TypeError, ValueError, AttributeError) as error:
+            self.stats.complain("handover_unusable", why=f"{type(error).__name__}: {error}")
+        else:
+            self.discovery.inherit(hosts, versioned)
+            self.operators.out = out
+            for worker in self.core.dispatcher.workers.values():
+                self._inherited[worker.id] = round(worker.out)
+            self.stats.log("taken_over", workers=len(hosts.hosts), out=len(out))
+        self.budget.limit_to(SHARE)
+
+    async def serving(self) -> None:
+        """This process serves. Once the other has let go of the addresses, it says so to whoever asks."""
+        if self.before is not None:
+            self.before.start(self._from_before, self._before_ended)
+            self.before.send(handover.SERVING)
+            with contextlib.suppress(TimeoutError):
+                async with self.wheel.limit(ANSWER):
+                    await self._parted.wait()
+        self._leave_word()
+
+    def _from_before(self, kind: int, payload: bytes) -> None:
+        if kind == handover.PARTED:
+            self._parted.set()
+        elif kind == handover.DONE:
+            self._done = True
+        elif kind == handover.SLOTS:
+            number, slots = _SLOTS.unpack(payload)
+            self._inherited[number] += slots
+            self.core.feed(api.Elsewhere(number, slots))
+        else:
+            self._either(kind, payload, self.before)
+
+    def _before_ended(self) -> None:
+        self._parted.set()
+        self.before = None
+        for number, slots in self._inherited.items():
+            if slots > 0:
+                self.core.feed(api.Elsewhere(number, -slots))
+        self._inherited.clear()
+        self.budget.limit_to(SHARE if self.after is not None else 1.0)
+        self.stats.log("other_process_ended")
+
+    # ---- the old process -----------------------------------------------------------------------------------
+
+    def adopt(self, token: str, sock: socket.socket) -> str:
+        """A new process is there. Why it may not take over, or nothing: then the socket is kept."""
+        if not secrets.compare_digest(token.encode(), self.token.encode()):
+            return "not the word that this process has left"
+        if self.after is not None or self.frontend.ending:
+            return "another has taken over" if self.after is not None else "this process is ending"
+        link = self.after = Link(sock, self.stats)
+        link.start(self._from_after, self._after_ended)
+        self._told = self._out()
+        link.send(handover.STATE, handover.seal({
+            "module": handover.take(self.core.dispatcher), "out": self.operators.out,
+            "list": self.discovery.inventory.write(self.discovery.version or 0, self.workers.hosts()),
+            "discovery": self.discovery.address}))
+        self.wheel.after(TELL_SLOTS, self._tell_slots)
+        return ""
+
+    def _from_after(self, kind: int, payload: bytes) -> None:
+        if kind == handover.SERVING:
+            self.stats.spawn(self._let_go(), "let go")
+        else:
+            self._either(kind, payload, self.after)
+
+    async def _let_go(self) -> None:
+        """Of the shared addresses. What the old process has taken it brings to its end."""
+        self.peers.let_go()
+        self.budget.limit_to(SHARE)
+        await self.frontend.let_go()
+        if self.after is not None:  # else it has died meanwhile, and all is taken back
+            self.stats.log("handed_over", owed=self.frontend.owing)
+            self.after.send(handover.PARTED)
+        while self.frontend.owing:
+            await asyncio.sleep(LOOK)
+        if self.after is not None:
+            self.after.send(handover.DONE)
+
+    def _after_ended(self) -> None:
+        self.after = None
+        if self.frontend.handed and not self.frontend.ending:
+            self.stats.complain("taken_back")  # the new process died: this one goes on
+            self.core.dispatcher.fleet.incarnation = (self.core.dispatcher.fleet.incarnation + 1) & 0xFF
+            self.peers.listen()
+            self.frontend.take_back()
+            self.budget.limit_to(SHARE if self.before is not None else 1.0)
+            self._leave_word()
+
+    def _tell_slots(self) -> None:
+        if self.after is None:
+            return
+        self.wheel.after(TELL_SLOTS, self._tell_slots)
+        out = self._out()
+        for number in {*out, *self._told}:
+            if out[number] != self._told[number]:
+                self.after.send(handover.SLOTS, _SLOTS.pack(number, out[number] - self._told[number]))
+        self._told = out
+
+    def _out(self) -> Counter[int]:
+        return Counter({w.id: round(w.out) for w in self.core.dispatcher.workers.values() if w.out})
+
+    # ---- both ----------------------------------------------------------------------------------------------
+
+    def _leave_word(self) -> None:
+        """Where to call this process. A new file takes the old one's place whole."""
+        new = self.word.with_suffix(".new")
+        try:
+            with contextlib.suppress(FileNotFoundError):
+                new.unlink()
+            with os.fdopen(os.open(new, os.O_WRONLY | os.O_CREAT | os.O_EXCL, 0o600), "w") as file:
+                json.dump({"mgmt": f"{self.mgmt[0]}:{self.mgmt[1]}", "token": self.token}, file)
+            new.replace(self.word)
+        except OSError as error:  # the next process starts from nothing
+            self.stats.complain("handover_word_not_left", why=error)
+
+    def _links(self, but: Link | None) -> list[Link]:
+        return [link for link in (self.before, self.after) if link is not None and link is not but]
+
+    def _pass_on(self, body: bytes, worker: int | None, but: Link | None = None) -> None:
+        """A call-back for no job of this process may be for one of the other's."""
+        for link in self._links(but):
+            link.send(handover.CALL_BACK, body)
+            self.stats.count("callbacks_passed_on")
+            if link is self.before and worker is not None:  # the worker lives, though nothing is told here
+                self.core.feed(api.Elsewhere(worker, 0.0))
+
+    def _tell_operators(self, call: Call) -> None:
+        """What an operator asks of one process holds for both; a drain is for the one that takes clients."""
+        kinds = {calls.DISABLE: handover.OUT, calls.ENABLE: handover.BACK}
+        for link in self._links(None):
+            if call.name in kinds:
+                link.send(kinds[call.name], call.word.encode())
+            elif link is self.after:
+                link.send(handover.DRAIN if call.name == calls.DRAIN else handover.RESUME)
+
+    def _either(self, kind: int, payload: bytes, link: Link | None) -> None:
+        if kind == handover.CALL_BACK:
+            self.workers.news(payload, lambda body, worker: self._pass_on(body, worker, link))
+            return
+        for other in self._links(link):  # a third, where one upgrade follows close on another
+            other.send(kind, payload)
+        if kind in (handover.OUT, handover.BACK):
+            self.operators.apply(payload.decode("ascii"), kind == handover.OUT)
+        elif not self.frontend.handed:
+            self.frontend.drain() if kind == handover.DRAIN else self.frontend.resume()
--- a/beaconhinge/net/workers.py
+++ b/beaconhinge/net/workers.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import json
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Any
 
 from ospreyroute import api
@@ -55,6 +55,8 @@
         self.reuse_told = self.reuse_within = NEAR_CLOSE * config.settings.idle_close
         self.workers: dict[int, _Worker] = {}
         self.carried: dict[tuple[str, str], _Carried] = {}  # open attempts by request id and worker id
+        # Who else may have the attempt that a call-back is for, given the worker's number.
+        self.elsewhere: Callable[[bytes, int], None] = lambda body, worker: None
         budget.reclaimers.append(self.close_one_idle)
         core.owners[api.Probe] = lambda action: stats.spawn(self._probe(action.worker), "probe")
         core.owners[api.Disconnect] = lambda action: self.disconnect(action.worker)
@@ -76,11 +78,13 @@
                 self.disconnect(host.member.worker)
             worker.host = host
 
-    def number_of(self, host_id: str) -> int | None:
-        """The number of a listed worker."""
-        number = worker_number(host_id)
-        worker = self.workers.get(number)
-        return number if worker is not None and worker.host.id == host_id else None
+    def lists(self, host_id: str) -> bool:
+        """Whether the list names that worker."""
+        worker = self.workers.get(worker_number(host_id))
+        return worker is not None and worker.host.id == host_id
+
+    def hosts(self) -> list[Host]:
+        return [worker.host for worker in self.workers.values()]
 
     def _forget(self, number: int) -> None:
         self.disconnect(number)
@@ -253,7 +257,7 @@
 
     # ---- call-backs ----------------------------------------------------------------------------------------
 
-    def news(self, body: bytes) -> None:
+    def news(self, body: bytes, elsewhere: Callable[[bytes, int], None] | None = None) -> None:
         """What a worker tells of a job; it may come early, late, twice or for an earlier life of ours."""
         self.stats.count("callbacks")
         try:
@@ -262,6 +266,7 @@
             carried = self.carried.get(key)
             if carried is None:
                 self.stats.count("callbacks_unmatched")
+                (elsewhere or self.elsewhere)(body, worker_number(key[1]))
                 return
             self._told(carried.attempt, state, content)
         except (ValueError, TypeError, KeyError, AttributeError, RecursionError) as error:
--- a/ospreyroute/api.py
+++ b/ospreyroute/api.py
@@ -251,6 +251,16 @@
     out: bool
 
 
+@dataclass(slots=True)
+class Elsewhere:
+    """Another process of this dispatcher has more slots out on a worker, or fewer; 0: the worker was heard
+    there. Not on the simulator's wire.
+    """
+
+    worker: int
+    slots: float
+
+
 @dataclass(slots=True)
 class Job:
     """A request has arrived and waits for its one final answer, `remaining` seconds at most."""
@@ -322,8 +332,8 @@
 
 
 Event: TypeAlias = (
-    Start | Membership | Maintenance | Job | Notice | StreamStarted | Outcome | ClientGone | PeerMessage
-    | ProbeResult | Timer
+    Start | Membership | Maintenance | Elsewhere | Job | Notice | StreamStarted | Outcome | ClientGone
+    | PeerMessage | ProbeResult | Timer
 )
 
 # ---- actions ------------------------------------------------------------------------------------------
--- a/ospreyroute/decide.py
+++ b/ospreyroute/decide.py
@@ -249,6 +249,15 @@
         self.let_go(worker)
         self.relist()
 
+    def on_elsewhere(self, event: api.Elsewhere) -> None:
+        worker = self.workers.get(event.worker)
+        if worker is not None:
+            worker.out, worker.last_sign = max(0.0, worker.out + event.slots), self.now
+            if event.slots:
+                what = peerwire.SENT if event.slots > 0 else peerwire.ENDED
+                self.fleet.note(self.now, worker.key, what, abs(round(event.slots)))
+            self.serve_held()
+
     def relist(self) -> None:
         self.by_key = {w.key: w for w in self.workers.values()}
         listed = [w for w in self.workers.values() if w.listed]
@@ -860,7 +869,7 @@
 
     HANDLERS: ClassVar[dict[type, Callable[..., None]]] = {
         api.Start: on_start, api.Membership: on_membership, api.Maintenance: on_maintenance,
-        api.Job: on_job, api.Outcome: on_outcome,
+        api.Elsewhere: on_elsewhere, api.Job: on_job, api.Outcome: on_outcome,
         api.Notice: on_notice, api.StreamStarted: on_gone, api.ClientGone: on_gone,
         api.PeerMessage: on_peer, api.Timer: on_timer,
     }  # fmt: skip
--- /dev/null
+++ b/tests/management/test_handover.py
@@ -0,0 +1,95 @@
+"""The form that one process hands to the next, and its frames."""
+
+from __future__ import annotations
+
+import json
+import random
+
+import pytest
+from helpers import job, members, outcome, started
+
+from beaconhinge.management import handover
+from beaconhinge.management.handover import Frames, Unusable
+from ospreyroute import api
+from ospreyroute.decide import Dispatcher
+
+
+def worked(seed: int = 1, **changes: str) -> Dispatcher:
+    """A module that has seen some of everything."""
+    dispatcher = started(6, seed=seed, groupSize="3", policyLimits__peers="true", **changes)
+    draw, now, sent = random.Random(seed), 100.0, []
+    for number in range(200):
+        now += draw.random() / 10
+        sent += [a for a in dispatcher.handle(now, job(number, cls=number % 3)) if isinstance(a, api.Send)]
+        if sent and draw.random() < 0.8:
+            done = sent.pop(0)
+            what = draw.choice([api.SERVED] * 6 + [api.ERROR, api.FULL, api.RESET])
+            after = dispatcher.handle(now, outcome(done.request, done.worker, what))
+            sent += [a for a in after if isinstance(a, api.Send) and a.request != done.request]
+        dispatcher.handle(now, api.Timer(1))
+    dispatcher.handle(now, api.Maintenance(103, True))
+    return dispatcher
+
+
+def test_what_is_handed_over_is_what_was_taken() -> None:
+    old = worked()
+    form = handover.seal({"module": handover.take(old)})
+    new = started(6, seed=2, groupSize="3", policyLimits__peers="true")
+    handover.restore(new, handover.unseal(form)["module"])
+    given, got = handover.take(old), handover.take(new)
+    assert got["fleet"].pop("sequence") == (given["fleet"].pop("sequence") + handover.AHEAD) & 0xFFFF
+    assert json.loads(json.dumps(got)) == json.loads(json.dumps(given))
+    new.handle(130.0, api.Membership(api.SNAPSHOT, 3, members(6)))
+    assert not new.workers[103].listed  # out by hand, across the hand-over
+    assert sum(w.out for w in old.workers.values()) == sum(w.out for w in new.workers.values()) > 0
+
+
+@pytest.mark.parametrize("many", ["3", "40"])
+def test_slots_of_the_other_process_count_until_they_end(many: str) -> None:
+    dispatcher = started(2, groupSize=many, policyLimits__peers="true")
+    worker = dispatcher.workers[100]
+    dispatcher.handle(101.0, api.Elsewhere(100, 3.0))
+    assert dispatcher.out(worker) == worker.out == 3.0
+    dispatcher.handle(108.0, api.Elsewhere(100, 0.0))
+    assert not dispatcher.silent(worker)  # it was heard by the other
+    dispatcher.handle(109.0, api.Elsewhere(100, -3.0))
+    assert dispatcher.out(worker) == worker.out == 0.0
+    dispatcher.handle(109.0, api.Elsewhere(999, 1.0))  # left the list meanwhile
+
+
+def test_a_form_cut_or_changed_at_any_byte_is_not_used() -> None:
+    form = handover.seal({"module": {"books": {"rate": float("inf")}}, "list": {}})
+    assert handover.unseal(form)["module"]["books"]["rate"] == float("inf")
+    for at in range(len(form)):
+        with pytest.raises(Unusable):
+            handover.unseal(form[:at])
+        with pytest.raises(Unusable):
+            handover.unseal(form[:at] + bytes([form[at] ^ 1]) + form[at + 1:])
+    with pytest.raises(Unusable, match="another version"):
+        handover.unseal(form.replace(b" 1 ", b" 0 ", 1))
+
+
+def test_what_does_not_fit_changes_nothing() -> None:
+    content = handover.take(worked())
+    for key in content:
+        for wrong in (None, [1], {}, "text", [[1, 2, 3, 4, 5]]):
+            new = started(6, groupSize="3", policyLimits__peers="true")
+            before = json.dumps(handover.take(new))
+            try:
+                handover.restore(new, {**content, key: wrong})
+            except Unusable:
+                assert json.dumps(handover.take(new)) == before
+
+
+def test_frames_in_pieces_are_frames() -> None:
+    sent = [(handover.STATE, b"x" * 3000), (handover.SERVING, b""), (handover.CALL_BACK, b"{}")]
+    data, draw = b"".join(handover.frame(kind, payload) for kind, payload in sent), random.Random(3)
+    for _ in range(50):
+        frames, got, at = Frames(), [], 0
+        while at < len(data):
+            size = draw.choice([1, 2, 7, 500, 5000])
+            got += frames.feed(data[at:at + size])
+            at += size
+        assert got == sent
+    with pytest.raises(Unusable, match="a frame of"):
+        list(Frames().feed(b"\xff" * 5))
--- /dev/null
+++ b/tests/management/test_upgrade.py
@@ -0,0 +1,268 @@
+"""One process takes over from another: each side against a scripted other, and two real ones under load."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import re
+import signal
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+import pytest
+import uvloop
+from stage import Scripted, Seen, Stage, free_port, job, play, read_message
+from test_management import FIRST, Operator
+
+from beaconhinge.management import handover
+from beaconhinge.management.handover import Frames
+from beaconhinge.net.sockets import tcp_listener
+from beaconhinge.standin.scene import SETTINGS, Scene
+from ospreyroute import api
+
+UP = b"GET /up HTTP/1.1\r\n\r\n"
+
+
+class Successor:
+    """The new process, as the old one sees it."""
+
+    def __init__(self) -> None:
+        self.frames, self.got, self.read = Frames(), asyncio.Queue[tuple[int, bytes]](), b""
+
+    async def take_over(self, word: Path, token: str = "") -> None:
+        while not word.exists():
+            await asyncio.sleep(0.01)
+        told = json.loads(word.read_text())
+        self.reader, self.writer = await asyncio.open_connection("127.0.0.1", int(told["mgmt"].split(":")[1]))
+        self.writer.write(f"take-over {token or told['token']}\n".encode())
+        self.reading = asyncio.create_task(self._read())
+
+    async def _read(self) -> None:
+        while data := await self.reader.read(65536):
+            self.read += data
+            if not self.read.startswith(b"FAILURE"):
+                for found in self.frames.feed(data):
+                    self.got.put_nowait(found)
+
+    async def expect(self, kind: int) -> bytes:
+        while (found := await self.got.get())[0] != kind:
+            pass
+        return found[1]
+
+    def say(self, kind: int, payload: bytes = b"") -> None:
+        self.writer.write(handover.frame(kind, payload))
+
+    def die(self) -> None:
+        self.reading.cancel()
+        self.writer.transport.abort()
+
+
+def upgrade(story: Any, tmp_path: Path, **more: Any) -> None:
+    port = free_port()
+
+    async def told(scene: Stage) -> None:
+        await story(scene, Operator(port), tmp_path / f"beaconhinge-127.0.0.1-{scene.port}.json")
+
+    play(told, mgmt=f"127.0.0.1:{port}", shared=tmp_path, **more)
+
+
+def test_a_new_process_that_dies_at_any_step_leaves_the_old_one_serving(tmp_path: Path) -> None:
+    async def story(scene: Stage, operator: Operator, word: Path) -> None:
+        new = Successor()
+        await new.take_over(word, "0" * 32)
+        await new.reading
+        assert new.read == b"FAILURE take-over: not the word that this process has left\n"
+        for step in ("called", "has the form", "serves", "has the door"):
+            new = Successor()
+            await new.take_over(word)
+            if step != "called":
+                assert "module" in handover.unseal(await new.expect(handover.STATE))
+            listener = None
+            if step in ("serves", "has the door"):
+                listener = tcp_listener(("127.0.0.1", scene.port), "listen", shared=True)
+                new.say(handover.SERVING)
+            if step == "has the door":
+                await new.expect(handover.PARTED)
+                assert await operator.call("ready") == "FAILURE another process has taken over\n"
+                await new.expect(handover.DONE)
+            if listener is not None:
+                listener.close()
+            new.die()
+            while await operator.call("ready") != "SUCCESS ready\n":
+                await asyncio.sleep(0.01)
+            assert (await scene.ask(UP)).status == 200
+            reader, writer = await scene.open()
+            for _ in range(2):  # connections are kept again
+                writer.write(UP)
+                assert "connection" not in (await read_message(reader)).headers
+            writer.close()
+
+    upgrade(story, tmp_path)
+
+
+def test_jobs_of_the_old_process_end_there_and_call_backs_find_their_way(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    module = Scripted([api.Send(1, FIRST)])
+    module.take = lambda: {}  # type: ignore[attr-defined]
+    monkeypatch.setattr("beaconhinge.__main__.Dispatcher", lambda settings, seed: module)
+    monkeypatch.setattr("beaconhinge.management.handover.take", lambda module: {})
+    module.workers = {}  # type: ignore[attr-defined]
+
+    async def story(scene: Stage, operator: Operator, word: Path) -> None:
+        idle, idle_writer = await scene.open()
+        idle_writer.write(UP)
+        await read_message(idle)
+        reader, writer = await scene.open()
+        writer.write(job())
+        await scene.workers[0].seen.get()
+        new = Successor()
+        await new.take_over(word)
+        await new.expect(handover.STATE)
+        await scene.news(state="done", id="r9", result="not known here")
+        assert json.loads(await new.expect(handover.CALL_BACK))["id"] == "r9"
+        listener = tcp_listener(("127.0.0.1", scene.port), "listen", shared=True)
+        new.say(handover.SERVING)
+        await new.expect(handover.PARTED)
+        assert await idle.read() == b""  # between jobs: it comes again by the new process
+        new.say(handover.CALL_BACK, b'{"id": "r1", "from": "s-0", "state": "done", "result": "one"}')
+        answer = await read_message(reader)
+        assert (answer.status, answer.body, answer.headers["connection"]) == (200, b"one", "close")
+        await new.expect(handover.DONE)
+        _, late = await scene.open()
+        accepted, _ = await asyncio.get_running_loop().sock_accept(listener)  # steered to the new one
+        accepted.close()
+        late.close()
+        listener.close()
+        await scene.stop()
+        await scene.running
+        new.die()
+
+    upgrade(story, tmp_path)
+
+
+def test_what_operators_ask_of_one_process_holds_for_both(tmp_path: Path) -> None:
+    async def story(scene: Stage, operator: Operator, word: Path) -> None:
+        new = Successor()
+        await new.take_over(word)
+        await new.expect(handover.STATE)
+        await operator.call("disable-server s-0")
+        assert await new.expect(handover.OUT) == b"s-0"
+        assert (await operator.figures())["hosts_down"] == 1
+        new.say(handover.BACK, b"s-0")
+        while (await operator.figures())["hosts_down"]:
+            await asyncio.sleep(0.01)
+        await operator.call("drain")
+        await new.expect(handover.DRAIN)
+        new.die()
+
+    upgrade(story, tmp_path)
+
+
+@pytest.mark.parametrize("fault", ["torn", "foreign", "older", "other frame", "silence", "no process", "no word"])
+def test_without_a_whole_form_the_new_process_starts_from_nothing(
+    fault: str, tmp_path: Path, monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
+) -> None:
+    monkeypatch.setattr("beaconhinge.net.upgrade.ANSWER", 0.2)
+    form = handover.seal({"module": {}})
+    forms = {"torn": form[:-1], "foreign": b"{}", "older": form.replace(b" 1 ", b" 0 ", 1)}
+
+    async def old(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readline()
+        if fault in forms:
+            writer.write(handover.frame(handover.STATE, forms[fault]))
+        elif fault == "other frame":
+            writer.write(handover.frame(handover.PARTED))
+        await reader.read()
+        writer.close()
+
+    async def run() -> None:
+        server = await asyncio.start_server(old, "127.0.0.1", 0)
+        port, mgmt = server.sockets[0].getsockname()[1], free_port()
+        if fault == "no process":
+            server.close()
+        said = b"{}" if fault == "no word" else json.dumps({"mgmt": f"127.0.0.1:{port}", "token": "t"}).encode()
+        from stage import stage
+
+        async def accept(_message: Seen) -> bytes | None:
+            return None
+
+        async with asyncio.timeout(10), stage(accept, 1, {"mgmt": f"127.0.0.1:{mgmt}"}, shared=tmp_path,
+                                              before=lambda listen: (tmp_path / f"beaconhinge-127.0.0.1-{listen}.json"
+                                                                     ).write_bytes(said)) as scene:
+            assert (await scene.ask(UP)).status == 200
+            assert await Operator(mgmt).call("ready") == "SUCCESS ready\n"
+        server.close()
+
+    uvloop.run(run())
+    assert capsys.readouterr().err.count(" handover_unusable ") == 1
+
+
+def test_two_upgrades_under_load_lose_and_repeat_nothing(tmp_path: Path) -> None:
+    """Real processes. Every job gets its one answer, none runs twice, and the figures of the three add up."""
+
+    async def load() -> None:
+        scene = Scene(6, 60.0, 5, tmp_path)
+        for server in (scene.discovery.server, *(box.server for box in scene.boxes)):
+            server.start()
+        processes: list[subprocess.Popen[bytes]] = []
+        operators: list[Operator] = []
+
+        async def start() -> None:
+            operators.append(Operator(free_port()))
+            config = tmp_path / f"{len(processes)}.json"
+            config.write_text(json.dumps({
+                "name": "n0", "listen": f"127.0.0.1:{scene.port}", "discovery": scene.discovery.server.address,
+                "mgmt": f"127.0.0.1:{operators[-1].port}", "settings": SETTINGS, "known": scene.discovery.whole()}))
+            processes.append(subprocess.Popen(
+                [sys.executable, "-O", "-m", "beaconhinge"], stderr=subprocess.PIPE,
+                env={**os.environ, "RELAY_CONFIG": str(config), "TMPDIR": str(tmp_path)}))
+            while True:
+                try:
+                    if (await operators[-1].call("ready")).startswith("SUCCESS"):
+                        return
+                except OSError:
+                    pass
+                await asyncio.sleep(0.02)
+
+        await start()
+        asking = asyncio.create_task(scene.clients.run(4.0))
+        await asyncio.sleep(0.5)
+        assert (await operators[0].call(f"disable-server {scene.boxes[0].name}")).startswith("SUCCESS")
+        for old in (0, 1):
+            await start()
+            processes[old].send_signal(signal.SIGTERM)
+            while processes[old].poll() is None:
+                await asyncio.sleep(0.02)
+        await asking
+        shown = await operators[2].figures()
+        processes[2].send_signal(signal.SIGTERM)
+        while processes[2].poll() is None:
+            await asyncio.sleep(0.02)
+        logs = []
+        for process in processes:
+            assert process.stderr is not None
+            logs.append(process.stderr.read().decode())
+            process.stderr.close()
+        for server in (scene.discovery.server, *(box.server for box in scene.boxes)):
+            await server.stop()
+
+        assert [process.returncode for process in processes] == [0, 0, 0]
+        assert scene.clients.answers["200"] == scene.clients.asked > 100
+        assert max(max(box.runs.values(), default=0) for box in scene.boxes) == 1
+        assert sum(box.runs.total() for box in scene.boxes) == scene.clients.asked
+        served = re.findall(r" success_\w+=(\d+)", "".join(logs))
+        assert sum(map(int, served)) == scene.clients.asked
+        assert shown["hosts_down"] == 1  # out by hand, over two upgrades
+        assert all(" taken_over " in log for log in logs[1:])
+        assert all(" handed_over " in log for log in logs[:2])
+        assert all(" other_process_ended" in log for log in logs[1:])
+
+    async def bounded() -> None:
+        async with asyncio.timeout(40):
+            await load()
+
+    uvloop.run(bounded())
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -10,6 +10,7 @@
 import socket
 from collections.abc import AsyncIterator, Awaitable, Callable
 from dataclasses import dataclass, field
+from pathlib import Path
 from typing import Any
 
 import uvloop
@@ -171,12 +172,14 @@
 
 
 @contextlib.asynccontextmanager
-async def stage(worker: Script, workers: int, changes: dict[str, Any],
-                ours: Ours | None = None) -> AsyncIterator[Stage]:
+async def stage(worker: Script, workers: int, changes: dict[str, Any], ours: Ours | None = None,
+                shared: Path | None = None, before: Callable[[int], object] = id) -> AsyncIterator[Stage]:
+    """`before` is called with the clients' port, before the dispatcher starts."""
     scene = Stage(worker, workers, changes, ours)
+    before(scene.port)
     for peer in (*scene.workers, scene.discovery):
         await peer.start()
-    running = scene.running = asyncio.create_task(serve(scene.config, scene.ours))
+    running = scene.running = asyncio.create_task(serve(scene.config, scene.ours, shared))
     await scene.discovery.seen.get()  # its first call: the dispatcher is up
     try:
         yield scene
@@ -187,11 +190,11 @@
 
 
 def play(story: Callable[[Stage], Awaitable[None]], worker: Script = accept, workers: int = 1,
-         ours: Ours | None = None, **changes: Any) -> None:
+         ours: Ours | None = None, shared: Path | None = None, **changes: Any) -> None:
     """Run a story; it may take ten seconds at most."""
 
     async def run() -> None:
-        async with asyncio.timeout(10), stage(worker, workers, changes, ours) as scene:
+        async with asyncio.timeout(10), stage(worker, workers, changes, ours, shared) as scene:
             await story(scene)
 
     uvloop.run(run())
