--- a/beaconhinge/net/operators.py
+++ b/beaconhinge/net/operators.py
@@ -28,8 +28,9 @@
         self.replaces: Callable[[], bool] = lambda: True  # whether a process before this one may be ended
         self.others: Callable[[Call], None] = lambda call: None  # the other process of an upgrade hears too
         self.acts: dict[str, Callable[[Call], bytes]] = {
-            calls.READY: self._ready, calls.SHOW_STAT: self._show_stat, calls.DISABLE: self._disable,
-            calls.ENABLE: self._enable, calls.DRAIN: self._drain, calls.RESUME: self._resume,
+            calls.READY: self._ready, calls.SHOW_STAT: self._show_stat, calls.DRAIN: self._drain,
+            calls.RESUME: self._resume, calls.DISABLE: self._take_out_or_put_back,
+            calls.ENABLE: self._take_out_or_put_back,
         }
 
     def _ready(self, _call: Call) -> bytes:
@@ -47,19 +48,12 @@
         return calls.shown(figures.show(self.core.stats.counters, self.config.class_names, self.requests.owed,
                                         len(listed), down))
 
-    def _disable(self, call: Call) -> bytes:
+    def _take_out_or_put_back(self, call: Call) -> bytes:
         if call.word not in self.out and not self.workers.lists(call.word):
             return calls.failure(f"{call.word}: no such worker in the list")
-        self.apply(call.word, True)
+        self.apply(call.word, call.name == calls.DISABLE)
         self.others(call)
-        return calls.success(f"{call.word} is out")
-
-    def _enable(self, call: Call) -> bytes:
-        if call.word not in self.out and not self.workers.lists(call.word):
-            return calls.failure(f"{call.word}: no such worker in the list")
-        self.apply(call.word, False)
-        self.others(call)
-        return calls.success(f"{call.word} is in")
+        return calls.success(f"{call.word} is {'out' if call.name == calls.DISABLE else 'in'}")
 
     def apply(self, host_id: str, out: bool) -> None:
         """Twice out is out once."""
--- a/beaconhinge/standin/scene.py
+++ b/beaconhinge/standin/scene.py
@@ -86,11 +86,13 @@
         self.lines: list[Mapping[str, Any]] = []  # its log
         self.process: asyncio.subprocess.Process
 
+    def platform(self, **more: object) -> dict[str, object]:
+        """The platform's configuration of the dispatcher."""
+        return {"name": "demo", "listen": f"127.0.0.1:{self.port}", "seed": 1, "settings": SETTINGS,
+                "discovery": self.discovery.server.address, "known": self.discovery.whole(), **more}
+
     def write_configuration(self) -> Path:
-        known = self.discovery.whole()
-        (self.folder / "balancer.json").write_text(json.dumps({
-            "name": "demo", "listen": f"127.0.0.1:{self.port}", "discovery": self.discovery.server.address,
-            "seed": 1, "settings": SETTINGS, "known": known}))
+        (self.folder / "balancer.json").write_text(json.dumps(self.platform()))
         ours = self.folder / "edge.toml"
         ours.write_text('[platform]\nconfig = "balancer.json"\n\n[log]\nformat = "json"\n\n'
                         '[store]\nfolder = "store"\n')
--- a/tests/cli/test_cli.py
+++ b/tests/cli/test_cli.py
@@ -45,7 +45,7 @@
 
 
 def test_help_has_examples(capsys: pytest.CaptureFixture[str]) -> None:
-    for arguments in (["store", "stat"], ["store", "repair"], ["config", "check"], ["demo"], ["run"]):
+    for arguments in (["store", "stat"], ["store", "repair"], ["config", "check"], ["demo"], ["run"], ["logs", "sum"]):
         status, out, _ = told(capsys, *arguments, "--help")
         assert status == 0 and f"beaconhinge {' '.join(arguments)}" in out and "Example" in out
 
--- /dev/null
+++ b/tests/cli/test_logs_sum.py
@@ -0,0 +1,55 @@
+"""Log lines that the program itself wrote, added up."""
+
+from __future__ import annotations
+
+import io
+import json
+from pathlib import Path
+
+import pytest
+
+from beaconhinge.cli import main
+from beaconhinge.logs import summary, writer
+from beaconhinge.stats import Stats
+
+
+def written(form: str, start: float) -> str:
+    """Two lives of one process and some trouble, as its own `Stats` logs them."""
+    sink, now = io.StringIO(), [start]
+    stats = Stats(lambda: now[0], sink, None if form == "plain" else writer(form, sink, lambda: now[0]))
+    for life in (1, 2):
+        stats.counters.clear()
+        stats.log("started", name="n0", workers=9)
+        stats.count("requests_taken", 10)
+        stats.report()
+        now[0] += 1.0
+        stats.complain("discovery_failed", why="status 503: a = 'b'")
+        stats.count("requests_taken", 5 * life)
+        stats.report()
+        now[0] += 1.5
+    return sink.getvalue()
+
+
+@pytest.mark.parametrize("form", ["plain", "json"])
+def test_events_by_second_and_dispatcher_and_counters_of_every_life(
+    form: str, tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    for name, start in (("n0", 1000.0), ("n1", 1001.0)):
+        (tmp_path / f"{name}.log").write_text(
+            "".join(f"[{n}] {line}\n" if form == "plain" else line + "\n"
+                    for n, line in enumerate(written(form, start).splitlines())) + "a stranger's line\n\n")
+    files = [str(tmp_path / "n0.log"), str(tmp_path / "n1.log")]
+    assert main(["logs", "sum", "--json", *files]) == 0
+    told = json.loads(capsys.readouterr().out)
+    assert told["counters"]["requests_taken"] == 2 * (15 + 20) and told["unread"] == 2
+    assert told["seconds"]["1"] == {"counters": 2, "discovery_failed": 1, "started": 1}
+    assert told["dispatchers"]["n1"] == {"counters": 4, "discovery_failed": 1, "started": 2}
+    assert main(["logs", "sum", *files]) == 0
+    lines = capsys.readouterr().out.splitlines()
+    assert lines[0].split() == ["second", "counters", "started", "discovery_failed"]
+    assert "requests_taken 70" in lines and lines[-1].startswith("2 lines")
+
+
+@pytest.mark.parametrize("line", ["", "{", "{}", '{"time": "x", "event": 1}', "12 started", "1.5", "1.5 a=b", "[" * 99999])
+def test_other_lines_are_none_of_ours(line: str) -> None:
+    assert summary.read(line) is None
--- a/tests/management/test_upgrade.py
+++ b/tests/management/test_upgrade.py
@@ -20,7 +20,7 @@
 from beaconhinge.management import handover
 from beaconhinge.management.handover import Frames
 from beaconhinge.net.sockets import tcp_listener
-from beaconhinge.standin.scene import SETTINGS, Scene
+from beaconhinge.standin.scene import Scene
 from ospreyroute import api
 
 UP = b"GET /up HTTP/1.1\r\n\r\n"
@@ -214,9 +214,7 @@
         async def start() -> None:
             operators.append(Operator(free_port()))
             config = tmp_path / f"{len(processes)}.json"
-            config.write_text(json.dumps({
-                "name": "n0", "listen": f"127.0.0.1:{scene.port}", "discovery": scene.discovery.server.address,
-                "mgmt": f"127.0.0.1:{operators[-1].port}", "settings": SETTINGS, "known": scene.discovery.whole()}))
+            config.write_text(json.dumps(scene.platform(mgmt=f"127.0.0.1:{operators[-1].port}")))
             processes.append(subprocess.Popen(
                 [sys.executable, "-O", "-m", "beaconhinge"], stderr=subprocess.PIPE,
                 env={**os.environ, "RELAY_CONFIG": str(config), "TMPDIR": str(tmp_path)}))
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -23,12 +23,19 @@
           b"POST / HTTP/1.1\r\nContent-Length: 70000 \r\n\r\n", b"\x00\x01\x02\r\n\r\n"]
 
 
-async def told(data: bytes, cuts: list[int]) -> list[Any]:
+ANSWERS = [
+    b"HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n"
+    b"HTTP/1.1 503 Busy\r\nX-Not-Processed: 1 \r\nX-Server-Load: x0=1, x1=2 \r\nContent-Length: 2\r\n\r\nno",
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+    b"HTTP/1.0 200 OK\r\n\r\nuntil the end", b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\ncut", b"HTP/1.1 200"]
+
+
+async def told(data: bytes, cuts: list[int], requests: bool = True) -> list[Any]:
     """What is read of these bytes, written in pieces that end at the cuts."""
     near, far = socket.socketpair()
     near.setblocking(False)
     far.setblocking(False)
-    connection, seen = Connection(near, requests=True, closed=lambda: None), []
+    connection, seen = Connection(near, requests=requests, closed=lambda: None), []
     write = asyncio.ensure_future(_write(far, [data[a:b] for a, b in zip([0, *cuts], [*cuts, None], strict=True)]))
     try:
         while True:
@@ -50,14 +57,16 @@
     sock.shutdown(socket.SHUT_WR)
 
 
-@pytest.mark.parametrize("data", [*WHOLE, WHOLE[0] + WHOLE[1] + WHOLE[2], *FAULTY], ids=range(8))
-def test_pieces_of_any_size_are_read_as_the_whole(data: bytes) -> None:
+@pytest.mark.parametrize(("data", "requests"), [
+    *((data, True) for data in (*WHOLE, WHOLE[0] + WHOLE[1] + WHOLE[2], *FAULTY)),
+    *((data, False) for data in ANSWERS)], ids=range(13))
+def test_pieces_of_any_size_are_read_as_the_whole(data: bytes, requests: bool) -> None:
     async def compare() -> None:
-        whole, draw = await told(data, []), random.Random(5)
+        whole, draw = await told(data, [], requests), random.Random(5)
         if len(data) < 1000:
-            assert await told(data, list(range(1, len(data)))) == whole
+            assert await told(data, list(range(1, len(data))), requests) == whole
         for _ in range(20):
-            assert await told(data, sorted(draw.sample(range(1, len(data)), 5))) == whole
+            assert await told(data, sorted(draw.sample(range(1, len(data)), 5)), requests) == whole
 
     uvloop.run(compare())
 
