--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -89,3 +89,38 @@
         assert (await asked).status == 200
 
     play(story)
+
+
+def test_a_discovery_that_says_nothing_or_little_at_a_time_holds_up_no_job(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("beaconhinge.net.discovery.ANSWER", 0.1)
+    calls = 0
+
+    async def script(_message: Seen) -> bytes | None:
+        nonlocal calls
+        calls += 1
+        await asyncio.Event().wait()
+        return None
+
+    async def story(scene: Stage) -> None:
+        scene.discovery.script = script
+        scene.lists = [{"version": 1, "full": False, "servers": []}]
+        for number in range(3):
+            asked = asyncio.create_task(scene.post(X_Request_ID=f"r{number}"))
+            await scene.workers[0].seen.get()
+            await scene.news(id=f"r{number}", state="done", result="from the remembered list")
+            assert (await asked).status == 200
+        assert (await scene.ask(b"GET /up HTTP/1.1\r\n\r\n")).status == 200
+        assert calls <= 2  # a call is out, and nobody hammers
+
+    play(story)
+
+
+def test_the_order_of_a_list_means_nothing_and_an_older_whole_list_is_what_discovery_says() -> None:
+    from helpers import members, started
+
+    one, other = started(0), started(0)
+    one.handle(101.0, api.Membership(api.SNAPSHOT, 7, members(9)))
+    other.handle(101.0, api.Membership(api.SNAPSHOT, 7, members(9)[::-1]))
+    assert {w.id for w in one.pool[-1]} == {w.id for w in other.pool[-1]} == {m.worker for m in members(9)}
+    one.handle(102.0, api.Membership(api.SNAPSHOT, 3, members(2)))
+    assert {w.id for w in one.pool[-1]} == {m.worker for m in members(2)}
