--- a/beaconhinge/management/calls.py
+++ b/beaconhinge/management/calls.py
@@ -48,8 +48,8 @@
     return Call(name, *rest)
 
 
-def success(text: str = "") -> bytes:
-    return f"SUCCESS {text}".rstrip().encode() + b"\n"
+def success(text: str) -> bytes:
+    return f"SUCCESS {text}\n".encode()
 
 
 def failure(why: str) -> bytes:
--- a/beaconhinge/net/operators.py
+++ b/beaconhinge/net/operators.py
@@ -24,22 +24,22 @@
         self.workers = workers
         self.requests = requests
         self.frontend = frontend
-        self.out: dict[str, int] = {}  # workers out by hand, by id: they may leave the list meanwhile
+        self.out: set[str] = set()  # workers out by hand, by id: they may leave the list meanwhile
         self.replaces: Callable[[], bool] = lambda: True  # whether a process before this one may be ended
         self.others: Callable[[Call], None] = lambda call: None  # the other process of an upgrade hears too
         self.acts: dict[str, Callable[[Call], bytes]] = {
-            calls.READY: self._ready, calls.SHOW_STAT: self._show_stat, calls.DRAIN: self._drain,
-            calls.RESUME: self._resume, calls.DISABLE: self._take_out_or_put_back,
-            calls.ENABLE: self._take_out_or_put_back,
+            calls.READY: self._ready, calls.SHOW_STAT: self._show_stat,
+            calls.DISABLE: self._take_out_or_put_back, calls.ENABLE: self._take_out_or_put_back,
+            calls.DRAIN: self._drain_or_resume, calls.RESUME: self._drain_or_resume,
         }
 
     def _ready(self, _call: Call) -> bytes:
         if not self.replaces():
             return calls.failure("the process before still has jobs")
-        if self.frontend.serving and not self.frontend.handed:
-            return calls.success("ready")
         if self.frontend.handed:
             return calls.failure("another process has taken over")
+        if self.frontend.serving:
+            return calls.success("ready")
         return calls.failure("drained" if self.frontend.draining else "no list of workers yet")
 
     def _show_stat(self, _call: Call) -> bytes:
@@ -59,27 +59,20 @@
         """Twice out is out once."""
         if out == (host_id in self.out):
             return
-        if out:
-            self.out[host_id] = worker_number(host_id)
-        else:
-            del self.out[host_id]
+        self.out ^= {host_id}
         self.core.stats.log("worker_out" if out else "worker_back", worker=host_id)
         self.core.feed(api.Maintenance(worker_number(host_id), out))
 
-    def _drain(self, call: Call) -> bytes:
+    def _drain_or_resume(self, call: Call) -> bytes:
         if self.frontend.ending:
             return calls.failure("this process is ending")
-        self.core.stats.log("drained")
-        if not self.frontend.handed:
-            self.frontend.drain()
+        drain = call.name == calls.DRAIN
+        self.core.stats.log("drained" if drain else "resumed")
+        self.send_away(drain)
         self.others(call)
-        return calls.success("drains")
+        return calls.success("drains" if drain else "serves")
 
-    def _resume(self, call: Call) -> bytes:
-        if self.frontend.ending:
-            return calls.failure("this process is ending")
-        self.core.stats.log("resumed")
+    def send_away(self, drain: bool) -> None:
+        """Send clients away or take them again; after a take-over that is for the other process to do."""
         if not self.frontend.handed:
-            self.frontend.resume()
-        self.others(call)
-        return calls.success("serves")
+            self.frontend.drain() if drain else self.frontend.resume()
--- a/beaconhinge/net/upgrade.py
+++ b/beaconhinge/net/upgrade.py
@@ -223,7 +223,7 @@
         if self.after is not None or self.frontend.ending:
             return "another has taken over" if self.after is not None else "this process is ending"
         form = handover.seal({
-            "module": handover.take(self.core.dispatcher), "out": list(self.operators.out),
+            "module": handover.take(self.core.dispatcher), "out": sorted(self.operators.out),
             "list": self.discovery.inventory.write(self.discovery.version or 0, self.workers.hosts()),
             "discovery": self.discovery.address})
         link = self.after = Link(sock, self.stats)
@@ -296,12 +296,12 @@
     def _links(self, but: Link | None) -> list[Link]:
         return [link for link in (self.before, self.after) if link is not None and link is not but]
 
-    def _pass_on(self, body: bytes, worker: int | None, but: Link | None = None) -> None:
+    def _pass_on(self, body: bytes, worker: int, but: Link | None = None) -> None:
         """A call-back for no job of this process may be for one of the other's."""
         for link in self._links(but):
             link.send(handover.CALL_BACK, body)
             self.stats.count("callbacks_passed_on")
-            if link is self.before and worker is not None:  # the worker lives, though nothing is told here
+            if link is self.before:  # the worker lives, though nothing is told here
                 self.core.feed(api.Elsewhere(worker, 0.0))
 
     def _tell_operators(self, call: Call) -> None:
@@ -321,5 +321,5 @@
             other.send(kind, payload)
         if kind in (handover.OUT, handover.BACK):
             self.operators.apply(payload.decode("ascii"), kind == handover.OUT)
-        elif not self.frontend.handed:
-            self.frontend.drain() if kind == handover.DRAIN else self.frontend.resume()
+        else:
+            self.operators.send_away(kind == handover.DRAIN)
