Let hubs of circles tell each other their boards; take late starts for a full fleet

Cause, from the model at 200 dispatchers and 200 boxes (a fifth of the boxes mute for 6 s; a slow-down to 0.6 for 5 s; load 0.85): after the cause some 400 to 900 jobs wait in the boxes' queues, none is held by a dispatcher, and the fleet rate is never cut. A dispatcher knew its own fifth of a box's jobs and took the rest to be like it, so that in a full fleet there was always a box that looked free, and the queues took all until their jobs were late before they started. Nothing cuts the rate before queues of a dozen a core are full.

Ruled out: order of held jobs (none are held), Retry-After (few are refused), second copies (1.1 a job).

Now hubs send their boards to each other's, tell mates the others' sum four times a second, and a job that starts when it is likely to be late counts as a full answer.

--- a/beaconhinge/standin/fleet/boxes.py
+++ b/beaconhinge/standin/fleet/boxes.py
@@ -62,6 +62,8 @@
     cold_share: float = 0.45
     fails_fast: bool = False
     paused_until: float = 0.0
+    slowed: float = 1.0  # pace beside its own, while something that all share is short
+    silent: bool = False  # nothing comes in and nothing goes out, though it works on
     running: list[Attempt] = field(default_factory=list)
     queue: deque[Attempt] = field(default_factory=deque)
     spent: float = 0.0  # work done
@@ -94,7 +96,7 @@
 
     def _rate(self, at: float) -> float:
         """Work a second that each running job gets."""
-        return self.speed * self.warmth(at) * min(1.0, self.of.cores / len(self.running))
+        return self.speed * self.slowed * self.warmth(at) * min(1.0, self.of.cores / len(self.running))
 
     def _carry_on(self) -> None:
         now = self.clock.now
@@ -164,6 +166,11 @@
         part = sum(work for _, work in self._sent) / (FALL * present * WINDOW)
         self.most_sent = max(self.most_sent, part)
 
+    def slow(self, pace: float) -> None:
+        self._carry_on()
+        self.slowed = pace
+        self._plan()
+
     def stall(self, seconds: float) -> None:
         self._carry_on()
         self.paused_until = max(self.paused_until, self.clock.now + seconds)
--- a/beaconhinge/standin/fleet/discovery.py
+++ b/beaconhinge/standin/fleet/discovery.py
@@ -26,6 +26,7 @@
         self.calls_a_second = calls_a_second
         self.tell = tell
         self.calls = self.refusals = 0
+        self.late_until = 0.0  # till then watchers hear of no change
         self._busy_until = 0.0
         self._version = 0
         self._log: list[tuple[int, api.Member]] = []
@@ -35,8 +36,9 @@
     def publish(self, members: list[api.Member]) -> None:
         self._version += 1
         self._log += [(self._version, member) for member in members]
+        late = max(0.0, self.late_until - self.clock.now)
         for number in self._known:
-            self.clock.after(self.random.uniform(*SPREAD), partial(self._push, number))
+            self.clock.after(late + self.random.uniform(*SPREAD), partial(self._push, number))
 
     def call(self, number: int, known: int) -> None:
         """Ask for what has changed since, and watch from then on."""
--- a/beaconhinge/standin/fleet/plan.py
+++ b/beaconhinge/standin/fleet/plan.py
@@ -12,7 +12,7 @@
 PUBLISHED = 0.31  # part of the jobs
 SHARES = (0.54, 0.29, 0.17)
 QUOTA = 0.8  # of the capacity, in all
-TROUBLES = ("", "zone", "join", "herd", "roll", "hub", "cut")
+TROUBLES = ("", "zone", "join", "herd", "roll", "hub", "cut", "split", "mute", "burst", "slow")
 
 
 @dataclass(frozen=True)
--- a/beaconhinge/standin/fleet/world.py
+++ b/beaconhinge/standin/fleet/world.py
@@ -25,7 +25,11 @@
 COLD = (3.6, 8.2)  # seconds that a box takes to warm up
 RESTART = (1.7, 1.8)
 CUT = 2.5  # seconds that the zones' dispatchers do not hear each other
+SPLIT, LATE_LIST = 6.0, 7.0  # seconds that a part is cut off, and that lists come late then
+SILENT = 0.2  # part of the boxes
+BURST, SLOWED, CAUSE = 1.5, 0.6, 5.0  # times the traffic, times the pace of each box, for so many seconds
 GRACE = 0.05  # seconds, as the rules have them on sockets
+OWN_WORD = (api.NO_CONNECTION, api.TIMEOUT, api.CANCELLED)  # outcomes that a dispatcher finds by itself
 Modules = Callable[[api.Settings, int], Dispatcher]
 
 
@@ -95,6 +99,7 @@
         self.told = settings(self.jobs_a_second, plan.peers)
         self.discovery = Discovery(self.clock, self.random, plan.calls_a_second, self._listed)
         self.cut_until = -math.inf  # till then the zones' dispatchers do not hear each other
+        self.split_until = -math.inf  # till then no dispatcher reaches a box of the other zone
         self.remembered = [self._member(box) for box in self.boxes.values()]
         self.nodes = [Node(n, n % 2, self._module(n)) for n in range(plan.dispatchers)]
         for node in self.nodes:
@@ -211,6 +216,9 @@
                     message = api.PeerMessage(node.number, action.payload)
                     self.clock.after(self.random.uniform(*PEER_HOP), partial(self.feed, other, message))
 
+    def _apart(self, node: Node, box: Box) -> bool:
+        return box.silent or node.zone != box.zone and self.clock.now < self.split_until
+
     # ---- attempts ------------------------------------------------------------------------------------------
 
     def _hop(self) -> float:
@@ -224,7 +232,7 @@
         request.attempts.append(attempt)
         self.count["attempts"] += 1
         self.count["cross_zone"] += box.zone != node.zone
-        if not box.reachable:
+        if not box.reachable or self._apart(node, box):
             self.clock.after(CONNECT, partial(self._ended, attempt, api.NO_CONNECTION, None))
         elif box.state == api.GONE:
             self.clock.after(self._hop(), partial(self._ended, attempt, api.NO_CONNECTION, None))
@@ -253,7 +261,7 @@
     def _notice(self, attempt: Attempt, what: int, share: float) -> None:
         request = attempt.owner
         assert isinstance(request, Request)
-        if attempt.open and request.live:
+        if attempt.open and request.live and not self._apart(request.node, attempt.box):
             self.feed(request.node, api.Notice(request.number, attempt.box.id, attempt.number, what, share))
 
     def _ended(self, attempt: Attempt, outcome: str, load: dict[str, float] | None) -> None:
@@ -261,6 +269,8 @@
         assert isinstance(request, Request)
         if not attempt.open or not request.live:
             return
+        if outcome not in OWN_WORD and self._apart(request.node, attempt.box):
+            return  # lost on the way: its sender finds out by time
         attempt.open = False
         attempt.started = attempt.started or outcome not in api.PROVEN_UNRUN
         self.count["outcome_" + outcome] += 1
@@ -330,6 +340,8 @@
         phase = rng.uniform(0, 11)
         while True:
             swing = 1 + plan.swing * math.sin(2 * math.pi * (at + phase) / 11)
+            if plan.trouble == "burst" and plan.at <= at < plan.at + CAUSE:
+                swing *= BURST
             at += rng.expovariate(plan.load * self.jobs_a_second * swing)
             if at >= plan.seconds:
                 return
@@ -360,6 +372,23 @@
             self.clock.after(plan.at, self._kill_hubs)
         elif plan.trouble == "cut":
             self.clock.after(plan.at, partial(setattr, self, "cut_until", plan.at + CUT))
+        elif plan.trouble in ("split", "mute"):
+            self.clock.after(plan.at, self._cut_off)
+        elif plan.trouble == "slow":
+            for box in self.boxes.values():
+                self.clock.after(plan.at, partial(box.slow, SLOWED))
+                self.clock.after(plan.at + CAUSE, partial(box.slow, 1.0))
+
+    def _cut_off(self) -> None:
+        """A zone, or a fifth of the boxes, is out of reach; zones do not hear each other; lists come late."""
+        self.cut_until = self.clock.now + SPLIT
+        self.discovery.late_until = self.clock.now + LATE_LIST
+        if self.plan.trouble == "split":
+            self.split_until = self.cut_until
+            return
+        for box in self.random.sample(list(self.boxes.values()), int(SILENT * len(self.boxes))):
+            box.silent = True
+            self.clock.after(SPLIT, partial(setattr, box, "silent", False))
 
     def _kill_hubs(self) -> None:
         self._kill_all([node for node in self.nodes if node.module.fleet.leads])
--- a/ospreyroute/decide.py
+++ b/ospreyroute/decide.py
@@ -342,7 +342,7 @@
             if self.rate > 1.2 * sum(demand.values()):
                 self.rate = INF
         self.part = self.own_part(demand)
-        self.send_rate = self.fleet.sends / max(self.now - self.controlled, 0.1)
+        self.send_rate = self.fleet.standing * self.fleet.sends / max(self.now - self.controlled, 0.1)
         self.sends = self.fulls = self.fleet.sends = 0
         self.controlled = self.now
         for worker in self.pool[-1]:
@@ -722,6 +722,7 @@
                     w.limit = max(1.0, w.limit - 0.05 * (w.limit - attempt.position + 0.5))
             if not attempt.noticed:
                 self.learn_wait(attempt)
+                self.count(0, self.many and self.now > request.start_by)  # as full, though the queue is not
             attempt.share_at = self.now
         elif worker is not None:
             self.follow(attempt, worker, event.value)
--- a/ospreyroute/fleet.py
+++ b/ospreyroute/fleet.py
@@ -4,7 +4,8 @@
 is worth: one of them, the hub, is told, and tells all what has changed on a board: slots out by worker, in
 figures that a later board mends if one is lost. Whoever has heard no board for a while becomes the hub, lower
 numbers sooner; of two the higher gives way. Rarer reports of demand go to all. A group of 80 or more falls
-into circles, each of which stands for the rest. Times are arguments; what is to be sent lies in `outbox`.
+into circles, whose hubs tell each other their boards; one that hears of no other stands for the rest. Times are
+arguments; what is to be sent lies in `outbox`.
 """
 
 from __future__ import annotations
@@ -26,6 +27,8 @@
 BOARD_AFTER, BOARD_LEAST = 0.1, 0.02  # seconds between boards, and at least when a worker has failed
 REFRESHED = 4  # entries told again with each board, in turn: they mend what was lost
 LAG = 0.15  # seconds after which an own send shows on the board
+FAR_MOST = 80  # workers on a far board
+FAR_AFTER, FAR_GONE = 0.25, 1.0  # seconds between far boards, and after which one tells nothing any more
 NO_BOARD, STAGGER = 0.5, 0.03  # seconds without a board until the first, and each next one, becomes the hub
 
 
@@ -92,6 +95,40 @@
         return peerwire.Board(incarnation, sequence, sends, entries)
 
 
+@dataclass(slots=True)
+class Circle:
+    """Another circle, as its hub tells the own one."""
+
+    members: range
+    asked: int = 0  # members told of the own board in turn, until the hub among them is known
+    hub: int = -1
+    incarnation: int = -1
+    sequence: int = 0
+    heard: float = -INF
+    out: Counter[int] = field(default_factory=Counter)  # slots by key of a worker
+
+    def hear(self, now: float, number: int, told: peerwire.Board) -> bool:
+        """Take in a board of it, unless it is an old one, or of a hub that will give way."""
+        if (number, told.incarnation) != (self.hub, self.incarnation):
+            if self.hub < number and now - self.heard <= NO_BOARD:
+                return False
+            self.hub, self.incarnation, self.sequence = number, told.incarnation, told.sequence - 1
+            self.out = Counter()
+        if not 0 < (told.sequence - self.sequence) & 0xFF <= 0x7F:
+            return False
+        self.sequence, self.heard = told.sequence, now
+        self.out.update({key: slots - self.out[key] for key, slots, _, _ in told.entries})
+        return True
+
+    def contact(self, now: float) -> int:
+        """Whom to tell of the own board: hubs are mostly the first that are there."""
+        if now - self.heard <= NO_BOARD:
+            self.asked = 0
+            return self.hub
+        self.asked += 1
+        return self.members[(self.asked - 1) % len(self.members)]
+
+
 class Fleet:
     def __init__(self, group_size: int, own_number: int, incarnation: int, report_after: float) -> None:
         self.group_size = group_size
@@ -105,6 +142,13 @@
         self.mates = [n for n in members if n != own_number]
         self.everyone = [-1] if self.circles == 1 else self.mates
         self.standing = (group_size - 1) / max(1, len(self.mates))  # for how many dispatchers a mate stands
+        of = [n * self.circles // group_size for n in range(group_size)]
+        self.far = {c: Circle(range(of.index(c), of.index(c) + of.count(c)))
+                    for c in range(self.circles) if c != circle}
+        self.abroad: Counter[int] = Counter()  # slots that other circles have out, by key of a worker
+        self._abroad_at = self._far_at = -INF
+        self._far_told: dict[int, int] = {}  # as the hub
+        self._now = -INF
         self.direct = len(self.mates) <= FEW
         self.outbox: list[tuple[int, bytes]] = []  # to whom, -1 for all
         self.sends = 0  # of the circle, as far as heard
@@ -127,9 +171,16 @@
 
     def others(self, key: int, own: float) -> float:
         """Slots that other dispatchers have out on a worker, on which this one has `own`."""
-        if self.direct or self.leads:
-            return self.standing * max(0.0, self.board.out[key] - own)
-        return self.standing * max(0.0, self.seen[key] + self._lately[key] - own)
+        out = self.board.out[key] if self.direct or self.leads else self.seen[key] + self._lately[key]
+        near = max(0.0, out - own)
+        return near + self.abroad[key] if self.sees_far else self.standing * near
+
+    @property
+    def sees_far(self) -> bool:
+        """Whether other circles are heard of. By the own fifth of a worker's jobs alone a full one looks
+        free, and a free one full, so often that a busy fleet queues them at random.
+        """
+        return self._now - self._abroad_at <= FAR_GONE
 
     # ---- telling -------------------------------------------------------------------------------------------
 
@@ -163,6 +214,7 @@
 
     def turn(self, now: float) -> None:
         """After each event: send what is due."""
+        self._now = now
         while self._unseen and self._unseen[0][0] < now - LAG:
             _, key, by = self._unseen.popleft()
             self._lately[key] -= by
@@ -187,7 +239,32 @@
         if now - self._board_at >= (BOARD_LEAST if self.board.failures else BOARD_AFTER):
             payload = peerwire.encode_board(self.board.page(self.incarnation, self._next()))
             self.outbox += [(n, payload) for n in self.everyone]
+            self.outbox += [(circle.contact(now), payload) for circle in self.far.values()]
             self._board_at = now
+        if self.far and now - self._far_at >= FAR_AFTER:
+            self._far_at = now
+            self._tell_far(now)
+
+    def _tell_far(self, now: float) -> None:
+        """Sum up what other circles have out, and tell mates where that has changed most. Those that are not
+        heard are taken to be like those that are.
+        """
+        heard = [circle.out for circle in self.far.values() if now - circle.heard <= FAR_GONE]
+        if not heard:
+            return
+        scale, before = len(self.far) / len(heard), self.abroad
+        self.abroad = Counter({key: round(scale * sum(out[key] for out in heard))
+                               for key in {key for out in heard for key in out}})
+        self._abroad_at = now
+        for key in before:
+            self.abroad.setdefault(key, 0)
+        self._far_told.update({key: 0 for key in self.abroad if key not in self._far_told})
+        most = sorted(self.abroad, key=lambda key: -abs(self.abroad[key] - self._far_told[key]))
+        entries = [(key, self.abroad[key], 0, False) for key in most[:FAR_MOST]]
+        self._far_told.update({key: slots for key, slots, _, _ in entries})
+        page = peerwire.Board(self.incarnation, self._next(), 0, entries, far=True)
+        payload = peerwire.encode_board(page)
+        self.outbox += [(n, payload) for n in self.everyone]
 
     def _next(self) -> int:
         self._sequence = (self._sequence + 1) & 0xFFFF
@@ -198,7 +275,12 @@
     def hear(self, now: float, number: int, payload: bytes) -> Iterator[Word | peerwire.Report]:
         """Take in what is new and from the circle; each word is counted when it is asked for."""
         told = peerwire.decode(payload)
-        if told is None or number not in self.mates:
+        if number not in self.mates:
+            circle = self.far.get(number * self.circles // self.group_size)
+            if circle is not None and self.leads and isinstance(told, peerwire.Board) and not told.far:
+                circle.hear(now, number, told)
+            return
+        if told is None:
             return
         peer = self.peers.get(number)
         if peer is None or peer.incarnation != told.incarnation:  # restarted: its old usage is not its own
@@ -232,7 +314,12 @@
                 return  # it will give way
             self.hub, self.introduce = number, True
             self.seen.clear()
+            self.abroad.clear()
         self._hub_heard = now
+        if told.far:
+            self._abroad_at = now
+            self.abroad.update({key: slots - self.abroad[key] for key, slots, _, _ in told.entries})
+            return
         self.sends += told.sends
         for key, slots, failures, served in told.entries:
             self.seen[key] = slots
--- a/ospreyroute/peerwire.py
+++ b/ospreyroute/peerwire.py
@@ -1,10 +1,11 @@
 """Bytes of what dispatchers tell each other: versioned, 256 bytes at most, big-endian.
 
 News are short and frequent: what was sent to which worker, and how it ended. A board is a hub's sum of them:
-slots out by worker, and how each has done. A report is rarer: the work admitted and denied in each bucket
-since the sender's last report, what a worker of each kind was found to hold, and the sender's slots out on
-each worker, which mends what lost news left wrong. Workers are named by a key of 14 bits; two workers with
-one key count for each other, which is harmless while it is rare.
+slots out by worker, and how each has done. A far board tells a circle what all others have out. A report is
+rarer: the work admitted and denied in each bucket since the sender's last report, what a worker of each kind
+was found to hold, and the sender's slots out on each worker, which mends what lost news left wrong. Workers
+are named by a key of 14 bits; two workers with one key count for each other, which is harmless while it is
+rare.
 `decode` answers None to whatever is foreign, truncated or of another version; whether it is stale is for its
 receiver, which compares incarnation and sequence.
 """
@@ -16,7 +17,7 @@
 from dataclasses import dataclass, field
 
 MAX_BYTES = 256
-NEWS, REPORT, BOARD = 0x73, 0x74, 0x75  # magic and version in one
+NEWS, REPORT, BOARD, FAR = 0x73, 0x74, 0x75, 0x76  # magic and version in one
 # What news tell: a send, its good end, an end by the worker's fault, any other end.
 SENT, SERVED, FAILED, ENDED = range(4)
 KEYS = 1 << 14
@@ -46,6 +47,7 @@
     sends: int  # of the whole circle since the last board, 255 at most
     # Key of a worker, slots out on it (31 at most), its failures (3 at most), whether it served since then.
     entries: list[tuple[int, int, int, bool]] = field(default_factory=list)
+    far: bool = False  # slots that all other circles have out, in place of the own one's
 
 
 @dataclass(slots=True)
@@ -76,7 +78,8 @@
 
 
 def encode_board(board: Board) -> bytes:
-    head = _BOARD.pack(BOARD, board.incarnation & 0xFF, board.sequence & 0xFF, min(255, board.sends))
+    head = _BOARD.pack(FAR if board.far else BOARD, board.incarnation & 0xFF, board.sequence & 0xFF,
+                       min(255, board.sends))
     return head + b"".join(
         _ENTRY.pack(k, min(31, max(0, slots)) << 3 | min(3, failures) << 1 | served)
         for k, slots, failures, served in board.entries[:BOARD_MOST])
@@ -105,10 +108,10 @@
         _, incarnation, sequence = _NEWS.unpack_from(payload)
         words = struct.unpack(f">{len(payload) // 2 - 1}H", payload[_NEWS.size:])
         return News(incarnation, sequence, [(word >> 2, word & 3) for word in words])
-    if payload[0] == BOARD and len(payload) % _ENTRY.size == _BOARD.size % _ENTRY.size:
-        _, incarnation, sequence, sends = _BOARD.unpack_from(payload)
-        pairs = _ENTRY.iter_unpack(payload[_BOARD.size:])
-        return Board(incarnation, sequence, sends, [(k, b >> 3, b >> 1 & 3, bool(b & 1)) for k, b in pairs])
+    if payload[0] in (BOARD, FAR) and len(payload) % _ENTRY.size == _BOARD.size % _ENTRY.size:
+        what, incarnation, sequence, sends = _BOARD.unpack_from(payload)
+        entries = [(k, b >> 3, b >> 1 & 3, bool(b & 1)) for k, b in _ENTRY.iter_unpack(payload[_BOARD.size:])]
+        return Board(incarnation, sequence, sends, entries, what == FAR)
     if payload[0] != REPORT or len(payload) < _REPORT.size:
         return None
     _, incarnation, sequence, span, kinds, buckets, workers = _REPORT.unpack_from(payload)
