--- a/ospreyroute/fleet.py
+++ b/ospreyroute/fleet.py
@@ -4,7 +4,7 @@
 is worth: one of them, the hub, is told, and tells all what has changed on a board: slots out by worker, in
 figures that a later board mends if one is lost. Whoever has heard no board for a while becomes the hub, lower
 numbers sooner; of two the higher gives way. Rarer reports of demand go to all. A group of 80 or more falls
-into circles, whose hubs tell each other their boards; one that hears of no other stands for the rest. Times are
+into circles, whose hubs tell each other their boards; one that hears no other stands for all. Times are
 arguments; what is to be sent lies in `outbox`.
 """
 
