Notice a stall by the own clock and blame nobody for it; rehearse faults between real processes

Need: a process stopped for 10 s timed its jobs out as it woke, before it read its sockets, told the others, and these benched healthy boxes. Cause: timers run first and time in which nobody listened counted as silence.

beaconhinge rehearse STORY plays stops, kills, cuts and losses among real processes and judges the history. A power loss still runs keys twice; the story shows it.

--- a/beaconhinge/__main__.py
+++ b/beaconhinge/__main__.py
@@ -58,6 +58,10 @@
     if config.mgmt is not None and shared is not None:
         upgrade = Upgrade(config, config.mgmt, shared, core, workers, discovery, peers, frontend, operators,
                           budget, wheel, stats)
+    if ours and ours.recovery.enabled:
+        from .net.recovery import Recovery
+
+        Recovery(ours.recovery.stall_s, core, wheel, requests, discovery, peers, stats)
     if ours and ours.progress.enabled:
         from .net.streams import Streams
 
--- a/beaconhinge/config/ours.py
+++ b/beaconhinge/config/ours.py
@@ -72,12 +72,25 @@
         return None
 
 
+class Recovery(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """What a process does that was away: docs/operate/recovery.md."""
+
+    enabled: bool = False
+    stall_s: float = 1.0
+
+    def problem(self) -> tuple[str, str] | None:
+        if not 0.3 <= self.stall_s < float("inf"):
+            return "stall_s", "must be a number of seconds, 0.3 or more: the module wakes each 0.1 s"
+        return None
+
+
 class Ours(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     platform: Platform = Platform()
     log: Log = Log()
     store: StoreTable = StoreTable()
     books: Books = Books()
     progress: Progress = Progress()
+    recovery: Recovery = Recovery()
 
 
 def read(path: str | os.PathLike[str]) -> Ours:
@@ -104,7 +117,7 @@
     except msgspec.ValidationError as error:
         reason, _, place = str(error).partition(" - at `$.")
         raise ConfigError(f"{name}: {place.rstrip('`')}: {reason}") from None
-    for table in ("store", "books", "progress"):
+    for table in ("store", "books", "progress", "recovery"):
         problem = getattr(ours, table).problem()
         if problem is not None:
             raise ConfigError(f"{name}: {table}.{problem[0]}: {problem[1]}")
--- a/beaconhinge/core.py
+++ b/beaconhinge/core.py
@@ -31,12 +31,15 @@
             self.owners[kind] = self._instruct
         self._events: deque[api.Event] = deque()
         self._feeding = False
+        self.woken: Callable[[], object] = lambda: None  # looks whether the process stood still
 
     def feed(self, event: api.Event) -> None:
         """An owner may feed while its action is routed; that event waits its turn in the queue."""
-        self._events.append(event)
         if self._feeding:
+            self._events.append(event)
             return
+        self.woken()  # which may feed first
+        self._events.append(event)
         self._feeding = True
         try:
             while self._events:
--- a/beaconhinge/net/discovery.py
+++ b/beaconhinge/net/discovery.py
@@ -116,6 +116,19 @@
         finally:
             line.drop()
 
+    async def refresh(self) -> None:
+        """Have what has changed at once, beside the watch. Returns when it is there, or cannot be had."""
+        line, query = _Line(), "" if self.version is None else f"?index={self.version}&wait=0"
+        try:
+            hosts = await self._call(line, query, 0.0)
+            # The watch may have told more meanwhile, and its answers are older to it.
+            if self.version is None or hosts.version >= self.version:
+                self._tell(api.SNAPSHOT if hosts.full else api.CHANGES, hosts)
+        except (OSError, Closed, BadMessage, InventoryError) as error:
+            self.stats.complain("discovery_failed", why=f"{type(error).__name__}: {error}")
+        finally:
+            line.drop()
+
     async def _fetch(self) -> None:
         line = _Line()  # of its own: a watch may hold the other
         try:
--- a/beaconhinge/net/peers.py
+++ b/beaconhinge/net/peers.py
@@ -5,6 +5,7 @@
 import asyncio
 import math
 import socket
+from collections.abc import Callable
 
 from ospreyroute import api
 
@@ -14,6 +15,7 @@
 from ..wheel import Wheel
 
 MAX_BYTES = 256
+MOST_WAITING = 4096  # datagrams dropped at once; what a socket holds by default is fewer
 HEARD_WITHIN = 1.5  # seconds without a datagram after which no other dispatcher counts as there
 
 
@@ -27,6 +29,7 @@
         self._sock: socket.socket | None = None
         self._heard_at = -math.inf
         self._leaving = False
+        self.woken: Callable[[], bool] = lambda: False  # whether the process has just gone on after a stall
         core.owners[api.Tell] = self._tell
 
     def move(self, config: Config) -> None:
@@ -65,6 +68,8 @@
 
     def _read(self) -> None:
         assert self._sock is not None
+        if self.woken():
+            return  # nothing that waited is news
         for _ in range(64):  # then others have their turn
             try:
                 payload, sender = self._sock.recvfrom(MAX_BYTES + 1)
@@ -82,6 +87,17 @@
                 self._heard_at = self.wheel.now()
             self.core.feed(api.PeerMessage(number, payload))
 
+    def forget_waiting(self) -> int:
+        """Drop what waits to be read; how many datagrams that were."""
+        for dropped in range(MOST_WAITING):
+            try:
+                if self._sock is None:
+                    return dropped
+                self._sock.recv(1)
+            except OSError:
+                return dropped
+        return MOST_WAITING
+
     def _tell(self, action: api.Tell) -> None:
         if self._leaving:
             return
--- /dev/null
+++ b/beaconhinge/recovery/stall.py
@@ -0,0 +1,59 @@
+"""Notices by the process's own clock that it stood still, and says whom not to blame for that time.
+
+Pure: times are arguments, in seconds of one forward-only clock.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass
+
+from ospreyroute import api
+
+KEPT = 8  # stalls remembered; an attempt that outlasts more of them is judged by the last ones
+
+# What an attempt that a stall may have ended is told as: ended by us, and whether it can have run.
+EXCUSED = {api.TIMEOUT: api.CANCELLED, api.RESET: api.CANCELLED, api.NO_CONNECTION: api.NOT_SENT}
+
+
+@dataclass(frozen=True, slots=True)
+class Stall:
+    """Between two turns of the process that should have been `after` seconds apart at most."""
+
+    began: float
+    ended: float
+
+    @property
+    def seconds(self) -> float:
+        return self.ended - self.began
+
+
+class StallWatch:
+    """`feed` it at every turn: whoever wakes the process first. Something has to wake it well within `after`
+    seconds while it is healthy.
+    """
+
+    def __init__(self, after: float) -> None:
+        self.after = after
+        self.stalls: deque[Stall] = deque(maxlen=KEPT)
+        self._last: float | None = None
+
+    def feed(self, now: float) -> Stall | None:
+        """The stall that has just ended, once."""
+        last, self._last = self._last, now
+        if last is None or now - last <= self.after:
+            return None
+        stall = Stall(last, now)
+        self.stalls.append(stall)
+        return stall
+
+    def outcome(self, sent_at: float, outcome: str) -> str:
+        """What an attempt's end is to be told as. A word from the worker itself stands."""
+        if self.stalls and sent_at < self.stalls[-1].ended:
+            return EXCUSED.get(outcome, outcome)
+        return outcome
+
+    def own_seconds(self, since: float, now: float) -> float:
+        """The part of that span in which this process ran."""
+        stood = sum(max(0.0, min(s.ended, now) - max(s.began, since)) for s in self.stalls)
+        return max(0.0, now - since - stood)
--- a/beaconhinge/request.py
+++ b/beaconhinge/request.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Awaitable, Callable, Mapping, Sequence
 from dataclasses import dataclass
 from typing import Protocol, TypeAlias
 
@@ -146,6 +146,10 @@
         self.settings = settings
         self.in_hand: dict[str, Request] = {}
         self._last = 0
+        # What an attempt's end is told to the module as, and the time of it in which this process ran.
+        self.excuse: Callable[[Attempt, str], str] = lambda attempt, outcome: outcome
+        self.own_seconds: Callable[[float, float], float] = lambda since, now: max(now - since, 0.0)
+        self.before: Callable[[], Awaitable[None]] | None = None  # a new job waits for it, if bounded
 
     @property
     def full(self) -> bool:
@@ -189,6 +193,8 @@
         late = job.remaining + self.all.settings.grace_to_answer / 2
         backstop = self.all.wheel.after(late, lambda: self._steps.put_nowait(Overdue()))
         try:
+            if self.all.before is not None:
+                await self.all.before()
             core.feed(api.Job(self.number, job.cls, job.tenant, job.remaining, job.route_key,
                               slots=job.slots, memory=job.memory, flags=api.REPEAT if job.repeat else 0))
             if self.watcher is not None:
@@ -260,9 +266,10 @@
         self.all.stats.count("outcome_" + step.outcome)
         if step.outcome == api.SERVED:
             self._finish(Answer(api.SERVED, step.body))
-        latency = max(self.all.wheel.now() - attempt.sent_at, 0.0)
-        self.all.core.feed(api.Outcome(self.number, attempt.worker, attempt.number, step.outcome,
-                                       self.answer.done(), latency, step.load))
+        latency = self.all.own_seconds(attempt.sent_at, self.all.wheel.now())
+        self.all.core.feed(api.Outcome(self.number, attempt.worker, attempt.number,
+                                       self.all.excuse(attempt, step.outcome), self.answer.done(), latency,
+                                       step.load))
 
     def _finish(self, answer: Answer) -> bool:
         """The first final answer stands."""
--- a/beaconhinge/standin/boxes.py
+++ b/beaconhinge/standin/boxes.py
@@ -7,6 +7,7 @@
 import random
 from collections import Counter
 from collections.abc import Mapping
+from functools import partial
 
 from ..net import http1
 from ..net.http1 import BadMessage, Closed, Message
@@ -16,34 +17,62 @@
 PROGRESS = 1.0  # seconds between reports of a running job
 
 
+class Rack:
+    """Boxes that share what keys they have seen: a repeat within `window` seconds is dropped unsaid."""
+
+    def __init__(self, window: float) -> None:
+        self.window = window
+        self._seen: dict[str, float] = {}
+
+    def drops(self, key: str, now: float) -> bool:
+        seen = self._seen.get(key)
+        if seen is not None and now - seen < self.window:
+            return True
+        self._seen[key] = now
+        return False
+
+
 class Box:
     """One worker. `means` gives each class's mean run time in seconds; runs are drawn from the seed."""
 
     def __init__(self, name: str, dispatcher: int, means: Mapping[str, float], slots: int = 4, queue: int = 4,
-                 seed: int = 0) -> None:
+                 seed: int = 0, rack: Rack | None = None) -> None:
         self.name = name
         self.means = means
         self.slots = slots
         self.queue = queue
         self.random = random.Random(f"{seed}/{name}")
-        self.server = Server(self._answer)
-        self.dispatcher = Caller(dispatcher)
-        self.held: dict[str, asyncio.Task[None]] = {}
+        self.rack = rack
+        self.servers: list[Server] = []  # its addresses, one for each dispatcher
+        self.callers: list[Caller] = []
+        self.server = self.door(dispatcher)
+        self.held: dict[tuple[int, str], asyncio.Task[None]] = {}  # by port of the dispatcher, and request
         self.runs: Counter[str] = Counter()  # by idempotency key, or by request where it has none
         self.counters: Counter[str] = Counter()
         self._free = asyncio.Semaphore(slots)
 
+    def door(self, dispatcher: int) -> Server:
+        """Another address of it. Who sends a job there is told of it at that port."""
+        back = Caller(dispatcher)
+        self.callers.append(back)
+        self.servers.append(Server(partial(self._answer, back)))
+        return self.servers[-1]
+
+    def close(self) -> None:
+        for caller in self.callers:
+            caller.close()
+
     def entry(self, zone: str, kind: str, cell: int) -> dict[str, object]:
         """This box as discovery lists it."""
         return {"id": self.name, "addr": self.server.address, "zone": zone, "kind": kind, "cell": cell,
                 "state": "Ready", "weight": 1.0, "started_ms": 0}
 
-    async def _answer(self, message: Message) -> bytes | None:
+    async def _answer(self, back: Caller, message: Message) -> bytes | None:
         path = message.target.decode("latin-1").split("?")[0]
         if message.method == "GET":
             return http1.response(200 if path == "/alive" else 404)
         if message.method == "DELETE":
-            task = self.held.pop(path.rpartition("/")[2], None)
+            task = self.held.pop((back.port, path.rpartition("/")[2]), None)
             if task is not None:
                 task.cancel()
                 self.counters["withdrawn"] += 1
@@ -51,37 +80,41 @@
         number = message.headers.get("x-request-id", "")
         if not number:
             return http1.response(404)
-        if len(self.held) >= self.slots + self.queue or number in self.held:
+        if len(self.held) >= self.slots + self.queue or (back.port, number) in self.held:
             self.counters["turned_away"] += 1
             return http1.response(503, headers={"X-Not-Processed": "1"})
         self.counters["taken"] += 1
-        key = message.headers.get("idempotency-key", number)
-        self.held[number] = self.server.spawn(self._run(number, key, path.strip("/").partition("/")[0]))
+        key = message.headers.get("idempotency-key", "")
+        if key and self.rack is not None and self.rack.drops(key, asyncio.get_running_loop().time()):
+            self.counters["dropped"] += 1
+            return http1.response(202)
+        cls = path.strip("/").partition("/")[0]
+        self.held[back.port, number] = self.server.spawn(self._run(back, number, key or number, cls))
         return http1.response(202)
 
-    async def _run(self, number: str, key: str, cls: str) -> None:
+    async def _run(self, back: Caller, number: str, key: str, cls: str) -> None:
         length = self.random.expovariate(1 / self.means.get(cls, 0.1))
         try:
             async with self._free:
                 self.runs[key] += 1
-                await self._tell(number, "started")
+                await self._tell(back, number, "started")
                 done = 0.0
                 while length - done > PROGRESS:
                     await asyncio.sleep(PROGRESS)
                     done += PROGRESS
-                    await self._tell(number, "running", share=done / length)
+                    await self._tell(back, number, "running", share=done / length)
                 await asyncio.sleep(length - done)
             self.counters["done"] += 1
-            await self._tell(number, "done", result=f"{cls} by {self.name}")
+            await self._tell(back, number, "done", result=f"{cls} by {self.name}")
         finally:
-            self.held.pop(number, None)
+            self.held.pop((back.port, number), None)
 
-    async def _tell(self, number: str, state: str, **more: object) -> None:
+    async def _tell(self, back: Caller, number: str, state: str, **more: object) -> None:
         body = json.dumps({"id": number, "from": self.name, "state": state, **more}).encode()
         head = {"Host": "dispatcher", "Content-Length": str(len(body))}
         for _ in range(TELLS):
             try:
-                answer = await self.dispatcher.call(http1.request("POST", b"/_jobs/news", head, body))
+                answer = await back.call(http1.request("POST", b"/_jobs/news", head, body))
                 if answer.status in (200, 204):
                     return
             except (OSError, Closed, BadMessage):
--- a/beaconhinge/standin/discovery.py
+++ b/beaconhinge/standin/discovery.py
@@ -16,6 +16,8 @@
         self.servers = {str(entry["id"]): entry for entry in servers}
         self.version = 1
         self.server = Server(self._answer)
+        self.out = False  # it takes calls and ends them without a word
+        self.calls = 0
         self._changed: dict[str, int] = {}  # the version in which an entry last changed
         self._news = asyncio.Event()
 
@@ -31,6 +33,9 @@
         return {"version": self.version, "full": True, "servers": list(self.servers.values())}
 
     async def _answer(self, message: Message) -> bytes | None:
+        self.calls += 1
+        if self.out:
+            return None
         path, _, query = message.target.decode("latin-1").partition("?")
         if path != "/discovery/hosts":
             return http1.response(404)
--- /dev/null
+++ b/beaconhinge/standin/rig/clients.py
@@ -0,0 +1,76 @@
+"""Clients that ask on schedule at any dispatcher, and with a key come again until they have a result."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+
+from ...net import http1
+from ...net.http1 import BadMessage, Closed
+from ..http import Caller
+from .story import Story
+from .verdict import Asked
+
+GRACE = 2.0  # seconds beyond a try's own time after which its answer counts as missing
+AGAIN = 0.3  # seconds until a client with a key comes again
+
+
+class Clients:
+    def __init__(self, story: Story, ports: list[int]) -> None:
+        self.story = story
+        self.random = random.Random(story.seed)
+        self.callers = [Caller(port) for port in ports]
+        self.tries: list[Asked] = []
+        self.answered: dict[str, bool] = {}  # keys: whether one try had the result
+        self._open: set[asyncio.Task[None]] = set()
+
+    async def run(self) -> None:
+        loop, story = asyncio.get_running_loop(), self.story
+        due = loop.time()
+        end = due + story.seconds
+        while (due := due + self.random.expovariate(story.rate)) < end:
+            keyed = self.random.random() < story.keyed
+            number = f"{self.random.getrandbits(64):016x}"
+            order = self.random.sample(range(story.processes), story.processes)
+            await asyncio.sleep(max(0.0, due - loop.time()))
+            task = asyncio.create_task(self._want(keyed, number, order))
+            self._open.add(task)
+            task.add_done_callback(self._open.discard)
+        if self._open:
+            await asyncio.wait(self._open)
+        for caller in self.callers:
+            caller.close()
+
+    async def _want(self, keyed: bool, number: str, order: list[int]) -> None:
+        if not keyed:
+            await self._ask("render", "", number, order[0], self.story.patience_s, False)
+            return
+        self.answered[number] = False
+        until, turn = time.monotonic() + 3 * self.story.patience_s, 0
+        while not self.answered[number] and (left := until - time.monotonic()) > AGAIN:
+            name = f"{number[:-2]}{turn % 256:02x}"
+            at = order[turn % len(order)]
+            self.answered[number] = await self._ask("publish", number, name, at, left, turn > 0) == "200"
+            turn += 1
+            await asyncio.sleep(0.0 if self.answered[number] else AGAIN)
+
+    async def _ask(self, cls: str, key: str, name: str, at: int, seconds: float, again: bool) -> str:
+        head = {"Host": "service", "X-Request-ID": name, "X-Tenant-Id": "north",
+                "X-Timeout-Ms": str(int(1000 * seconds)), "Content-Length": "4"}
+        head |= {"Idempotency-Key": key} if key else {}
+        head |= {"X-Retry": "1"} if again else {}
+        try_ = Asked(key, cls, at, time.monotonic())
+        self.tries.append(try_)
+        data = http1.request("POST", f"/{cls}".encode(), head, b"work")
+        try_.end = "missing"
+        try:
+            async with asyncio.timeout(seconds + GRACE):
+                try:
+                    try_.end = str((await self.callers[at].call(data)).status)
+                except (Closed, ConnectionError):  # it crossed the end of a kept connection
+                    try_.end = str((await self.callers[at].call(data, fresh=True)).status)
+        except (OSError, Closed, BadMessage):  # a time-out is an OSError too
+            pass
+        try_.ended = time.monotonic()
+        return try_.end
--- /dev/null
+++ b/beaconhinge/standin/rig/play.py
@@ -0,0 +1,206 @@
+"""Plays a story: starts the processes and stand-ins, lets the faults happen, and has the history judged."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+import signal
+import socket
+import tempfile
+import time
+from collections import Counter
+from collections.abc import Callable
+from pathlib import Path
+
+from ...inventory import worker_number
+from ..boxes import Box, Rack
+from ..discovery import Discovery
+from ..http import Server
+from ..scene import SETTINGS, SceneError
+from .clients import GRACE, Clients
+from .links import Links
+from .process import Process
+from .story import Fault, Story
+from .verdict import Verdict, benched, run_twice, share, unexcused
+
+WINDOW = 40.0  # seconds in which a rack drops a repeat
+SETTLED = 1.0  # seconds after the last answer, in which what a fault left behind shows
+EVENTS = 12  # of the history, told where a rule was broken
+AFTER = 0.5  # seconds after the last fault from which on service is judged
+
+
+class Play:
+    def __init__(self, story: Story, folder: Path, told: Callable[[str], None] = lambda line: None) -> None:
+        self.story = story
+        self.told = told
+        self.events: list[str] = []
+        self.hits: Counter[str] = Counter()
+        self.statuses: list[int] = []
+        count = story.processes
+        ports = _ports(count, socket.SOCK_STREAM)
+        real = [("127.0.0.1", port) for port in _ports(count, socket.SOCK_DGRAM)]
+        self.links = Links(real, story.seed)
+        racks = [Rack(WINDOW) for _ in range(story.racks)]
+        means = {"render": story.render_s, "publish": story.publish_s}
+        self.boxes = [Box(f"s-{story.seed:04x}{n:04x}", ports[0], means, story.slots, 4 * story.slots,
+                          seed=story.seed, rack=racks[n % story.racks]) for n in range(story.boxes)]
+        for box in self.boxes:
+            for port in ports[1:]:
+                box.door(port)
+        # Each dispatcher reaches a box at an address of its own, and so has a list of its own.
+        self.lists = [Discovery([{**box.entry("ab"[n % 2], "plain", n % story.racks),
+                                  "addr": box.servers[i].address} for n, box in enumerate(self.boxes)])
+                      for i in range(count)]
+        self.processes = [Process(i, ports[i], folder / f"n{i}", self._platform(i, ports[i], real[i]),
+                                  self._ours()) for i in range(count)]
+        self.clients = Clients(story, ports)
+        self.began = 0.0
+
+    def _platform(self, number: int, port: int, listen: tuple[str, int]) -> dict[str, object]:
+        peers, everyone = self.links.addresses(number)
+        limits = {**SETTINGS["policyLimits"], "peers": True, "connectTimeout": 0.25}
+        settings = {**SETTINGS, "groupSize": self.story.processes, "myNumber": number, "policyLimits": limits,
+                    "rules": {"mustAskIn": 10.0}}
+        return {"name": f"n{number}", "listen": f"127.0.0.1:{port}", "seed": self.story.seed * 1000 + number,
+                "settings": settings, "discovery": self.lists[number].server.address,
+                "known": self.lists[number].whole(), "peer_listen": f"{listen[0]}:{listen[1]}",
+                "peers": peers, "peers_all": everyone}
+
+    def _ours(self) -> str:
+        return (f'[platform]\nconfig = "balancer.json"\n[log]\nformat = "json"\n[store]\nfolder = "store"\n'
+                f"[recovery]\nenabled = {str(self.story.recovery).lower()}\nstall_s = {self.story.stall_s}\n")
+
+    # ---- the story -----------------------------------------------------------------------------------------
+
+    async def run(self) -> Verdict:
+        self.links.start()
+        for server in self._servers():
+            server.start()
+        try:
+            await asyncio.gather(*(process.start() for process in self.processes))
+            self.began = time.monotonic()
+            faults = [asyncio.create_task(self._fault(fault)) for fault in self.story.faults]
+            asking = asyncio.create_task(self.clients.run())
+            await asyncio.gather(asking, *faults)
+            await asyncio.sleep(SETTLED)
+            self.statuses = list(await asyncio.gather(*(p.end(signal.SIGTERM) for p in self.processes)))
+        finally:
+            for process in self.processes:
+                process.signal(signal.SIGKILL)
+            for server in self._servers():
+                await server.stop()
+            for box in self.boxes:
+                box.close()
+            self.links.close()
+        return self._verdict()
+
+    def _servers(self) -> list[Server]:
+        return [*(found.server for found in self.lists), *(s for box in self.boxes for s in box.servers)]
+
+    def _say(self, what: str) -> None:
+        line = f"{time.monotonic() - self.began:7.2f} s  {what}"
+        self.events.append(line)
+        self.told(line)
+
+    async def _fault(self, fault: Fault) -> None:
+        await asyncio.sleep(max(0.0, self.began + fault.at_s - time.monotonic()))
+        who = self.story.hit(fault)
+        self._say(f"{fault.what} {','.join(map(str, who))} for {fault.for_s:g} s")
+        if fault.what == "stop":
+            hit = [self.processes[n] for n in who if self.processes[n].stop()]
+            self.hits[fault.what] += len(hit)
+            await asyncio.sleep(fault.for_s)
+            for process in hit:
+                process.go_on()
+        elif fault.what in ("kill", "term"):
+            number = signal.SIGKILL if fault.what == "kill" else signal.SIGTERM
+            hit = [self.processes[n] for n in who if self.processes[n].running]
+            self.hits[fault.what] += len(hit)
+            statuses = await asyncio.gather(*(process.end(number) for process in hit))
+            self.statuses += statuses if fault.what == "term" else []
+            await asyncio.sleep(fault.for_s)
+            for process in hit if fault.folder == "empty" else []:
+                process.forget()
+            await asyncio.gather(*(process.start() for process in hit))
+        elif fault.what == "cut":
+            ways = [(i, j) for i in who for j in fault.to or range(self.story.processes) if i != j]
+            dropped = self.links.counters["dropped"]
+            self.links.cut.update(ways)
+            await asyncio.sleep(fault.for_s)
+            self.links.cut.subtract(ways)
+            self.hits[fault.what] += self.links.counters["dropped"] - dropped
+        elif fault.what == "lossy":
+            dropped = self.links.counters["dropped"]
+            self.links.loss.update(dict.fromkeys(who, fault.part))
+            await asyncio.sleep(fault.for_s)
+            for number_ in who:
+                self.links.loss.pop(number_, None)
+            self.hits[fault.what] += self.links.counters["dropped"] - dropped
+        else:
+            calls = [self.lists[n].calls for n in who]
+            for n in who:
+                self.lists[n].out = True
+            await asyncio.sleep(fault.for_s)
+            for n in who:
+                self.lists[n].out = False
+            self.hits[fault.what] += sum(self.lists[n].calls for n in who) - sum(calls)
+        self._say(f"{fault.what} {','.join(map(str, who))} is over")
+
+    # ---- the verdict ---------------------------------------------------------------------------------------
+
+    def _verdict(self) -> Verdict:
+        story, tries = self.story, self.clients.tries
+        runs: Counter[str] = Counter()
+        for box in self.boxes:
+            runs.update(box.runs)
+        names = {str(worker_number(box.name)): box.name for box in self.boxes}
+        blamed: Counter[str] = Counter()
+        for process in self.processes:
+            blamed.update({names.get(n, n): times for n, times in benched(process.lines).items()})
+        counters: Counter[str] = Counter()
+        for process in self.processes:
+            counters.update(process.counters)
+        first = min((f.at_s for f in story.faults), default=story.seconds)
+        last = max((f.at_s + f.for_s for f in story.faults), default=0.0)
+        lost = unexcused(tries, [process.stood for process in self.processes], GRACE)
+        twice = run_twice({key: runs[key] for key in self.clients.answered})
+        broken = [f"no answer from dispatcher {t.dispatcher} to a {t.cls}" for t in lost[:5]]
+        broken += [f"key {key} ran {runs[key]} times" for key in twice]
+        broken += [f"{name}, a healthy box, was benched {times} times" for name, times in blamed.items()]
+        broken += [f"a dispatcher ended with status {status}" for status in self.statuses if status]
+        broken += [f"{name}: {counters[name]}" for name in counters
+                   if name == "task_failed" or name.startswith("broken_")]
+        kinds = {fault.what for fault in story.faults}
+        broken += [f"the fault {kind} hit nothing" for kind in sorted(kinds) if not self.hits[kind]]
+        broken += [] if any(t.end == "200" for t in tries) else ["nothing was served"]
+        ends = Counter(t.end for t in tries)
+        return Verdict(
+            story.name, story.seed, len(tries), dict(sorted(ends.items())), len(self.clients.answered),
+            sum(not done for done in self.clients.answered.values()), runs.total(), dict(blamed),
+            dict(self.hits), dict(sorted(counters.items())), share(tries, self.began, self.began + first),
+            share(tries, self.began + last + AFTER, self.began + story.seconds), broken,
+            self.events[-EVENTS:] if broken else [])
+
+
+def _ports(count: int, kind: int) -> list[int]:
+    """Free ports below those that the kernel hands out: a connection of another story took one of these
+    between this look and the start of the dispatcher.
+    """
+    found: list[int] = []
+    while len(found) < count:
+        port = random.randrange(10000, 32000)
+        with socket.socket(socket.AF_INET, kind) as sock, contextlib.suppress(OSError):
+            sock.bind(("127.0.0.1", port))
+            found += [port] if port not in found else []
+    return found
+
+
+async def play(story: Story, told: Callable[[str], None] = lambda line: None) -> Verdict:
+    """Play it in a folder of its own, which goes with it. Raises SceneError where a process does not start.
+    """
+    with tempfile.TemporaryDirectory(prefix="beaconhinge-") as folder:
+        return await Play(story, Path(folder), told).run()
+
+
+__all__ = ["Play", "SceneError", "play"]
--- /dev/null
+++ b/beaconhinge/standin/rig/story.py
@@ -0,0 +1,83 @@
+"""A story as data: sizes, a seed, and faults with their times. Pure."""
+
+from __future__ import annotations
+
+import os
+import tomllib
+from pathlib import Path
+from typing import Literal
+
+import msgspec
+
+from ...errors import Error
+
+MOST_PROCESSES, MOST_BOXES, MOST_SECONDS, MOST_RATE = 40, 200, 600.0, 2000.0
+
+
+class StoryError(Error):
+    """A story that cannot be played; the text names file and key."""
+
+
+class Fault(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """`stop`: SIGSTOP, and SIGCONT after `for_s`. `kill`, `term`: that signal, and a start again after
+    `for_s`, with the same or an empty folder. `cut`: datagrams from `who` to `to` are dropped. `lossy`: a
+    `part` of all datagrams of `who` is lost, and as many come twice. `discovery`: it is out.
+    """
+
+    at_s: float
+    what: Literal["stop", "kill", "term", "cut", "lossy", "discovery"]
+    for_s: float
+    who: list[int] = []  # dispatchers, by number; none: all of them
+    to: list[int] = []  # for `cut`; none: all of them
+    part: float = 0.5  # for `lossy`
+    folder: Literal["same", "empty"] = "same"
+
+
+class Story(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Times in seconds. `render` jobs are harmless to repeat; a `publish` has a key and may run once."""
+
+    name: str
+    seed: int = 1
+    processes: int = 5
+    boxes: int = 9
+    racks: int = 3
+    slots: int = 4  # of a box
+    rate: float = 60.0  # jobs a second, over all dispatchers
+    keyed: float = 0.2  # part of them that is `publish`
+    render_s: float = 0.25  # mean run time
+    publish_s: float = 1.0
+    patience_s: float = 3.0  # that a client waits; three times that for `publish`
+    seconds: float = 10.0  # in which clients ask
+    recovery: bool = True
+    stall_s: float = 1.0
+    faults: list[Fault] = []
+
+    def hit(self, fault: Fault) -> list[int]:
+        return fault.who or list(range(self.processes))
+
+    def problem(self) -> str | None:
+        bounds = {"processes": (1, MOST_PROCESSES), "boxes": (1, MOST_BOXES), "racks": (1, self.boxes),
+                  "slots": (1, 64), "rate": (0.1, MOST_RATE), "seconds": (0.1, MOST_SECONDS), "keyed": (0, 1),
+                  "render_s": (0.001, 60), "publish_s": (0.001, 60), "patience_s": (0.1, 60)}
+        for key, (least, most) in bounds.items():
+            if not least <= getattr(self, key) <= most:
+                return f"{key}: must be between {least} and {most}"
+        for number, fault in enumerate(self.faults):
+            if not (0 <= fault.at_s <= self.seconds and 0 < fault.for_s <= MOST_SECONDS):
+                return f"faults[{number}]: at_s must lie within the story, for_s be more than 0"
+            if not all(0 <= n < self.processes for n in fault.who + fault.to):
+                return f"faults[{number}]: there are dispatchers 0 to {self.processes - 1}"
+        return None
+
+
+def read(path: str | os.PathLike[str], seed: int | None = None) -> Story:
+    """Raises StoryError."""
+    try:
+        content = tomllib.loads(Path(path).read_text(encoding="utf-8"))
+        story = msgspec.convert(content if seed is None else {**content, "seed": seed}, Story)
+    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError, msgspec.ValidationError) as error:
+        raise StoryError(f"{path}: {error}") from None
+    problem = story.problem()
+    if problem is not None:
+        raise StoryError(f"{path}: {problem}")
+    return story
--- /dev/null
+++ b/beaconhinge/standin/rig/verdict.py
@@ -0,0 +1,68 @@
+"""What a story came to, by what clients, boxes and logs wrote down. Pure."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterable, Mapping, Sequence
+from typing import Any
+
+import msgspec
+
+Span = tuple[float, float]
+
+
+class Asked(msgspec.Struct):
+    """One try of a client at one dispatcher. Times are of the rig's clock; `end` is a status or `missing`."""
+
+    key: str
+    cls: str
+    dispatcher: int
+    at: float
+    ended: float = 0.0
+    end: str = ""
+
+
+class Verdict(msgspec.Struct):
+    """`broken`: rules, in words. A story in which nothing was done, or a fault hit nothing, is broken too."""
+
+    name: str
+    seed: int
+    asked: int
+    ends: dict[str, int]
+    keys: int
+    keys_unanswered: int
+    runs: int
+    benched: dict[str, int]  # healthy boxes that a dispatcher benched: how often
+    faults: dict[str, int]  # what faults hit, by kind
+    counters: dict[str, int]  # of all dispatchers
+    served_before: float  # part of the tries served before the first fault, and after the last
+    served_after: float
+    broken: list[str]
+    last: list[str]  # the last events, where a rule was broken
+
+    @property
+    def well(self) -> bool:
+        return not self.broken
+
+
+def benched(lines: Iterable[Mapping[str, Any]]) -> Counter[str]:
+    """Boxes, by number, that the module says it has benched."""
+    return Counter(str(line["text"]).split()[1] for line in lines
+                   if line.get("event") == "module" and " benched" in str(line.get("text")))
+
+
+def unexcused(asked: Iterable[Asked], stood: Sequence[Sequence[Span]], grace: float) -> list[Asked]:
+    """Tries without one final answer whose dispatcher ran all the while. A connection that waited in front of
+    a process as it went on may be served late, for which it has `grace` seconds.
+    """
+    return [try_ for try_ in asked if try_.end == "missing" and not any(
+        begun - grace <= try_.ended and try_.at <= ended + grace for begun, ended in stood[try_.dispatcher])]
+
+
+def run_twice(runs: Mapping[str, int]) -> list[str]:
+    return sorted(key for key, times in runs.items() if times > 1)
+
+
+def share(asked: Sequence[Asked], since: float, until: float) -> float:
+    within = [try_ for try_ in asked if since <= try_.at < until]
+    return sum(try_.end == "200" for try_ in within) / max(1, len(within))
--- a/beaconhinge/standin/scene.py
+++ b/beaconhinge/standin/scene.py
@@ -149,7 +149,7 @@
         for server in (self.discovery.server, *(box.server for box in self.boxes)):
             await server.stop()
         for box in self.boxes:
-            box.dispatcher.close()
+            box.close()
         assert self.process.returncode is not None
         return self.process.returncode
 
--- a/beaconhinge/wheel.py
+++ b/beaconhinge/wheel.py
@@ -35,6 +35,7 @@
         self._wake: asyncio.TimerHandle | None = None
         self._wakes_at = 0  # the tick for which the loop's timer is set
         self._turning = False
+        self.held_for: Callable[[], float] = lambda: 0.0  # seconds that timers have to wait still
 
     def after(self, seconds: float, call: Callable[[], object]) -> Timer:
         if self._count == 0:
@@ -52,6 +53,12 @@
 
     def turn(self) -> None:
         """Fire what is due. A late loop catches up; more than a whole turn late, each slot is seen once."""
+        wait = self.held_for()
+        if wait > 0:
+            # What came while the process stood still is read first; no newer timer shortens that.
+            self._wakes_at = 0
+            self._wake = asyncio.get_running_loop().call_later(wait, self.turn)
+            return
         self._wake, self._turning = None, True
         target = self._ticks()
         due: list[Timer] = []
--- a/ospreyroute/api.py
+++ b/ospreyroute/api.py
@@ -326,6 +326,13 @@
     load: Mapping[str, float] | None = None
 
 
+@dataclass(slots=True)
+class Stalled:
+    """The instance itself did not run for so many seconds, until now."""
+
+    seconds: float
+
+
 @dataclass(slots=True)
 class Timer:
     token: int
@@ -333,7 +340,7 @@
 
 Event: TypeAlias = (
     Start | Membership | Maintenance | Elsewhere | Job | Notice | StreamStarted | Outcome | ClientGone
-    | PeerMessage | ProbeResult | Timer
+    | PeerMessage | ProbeResult | Stalled | Timer
 )
 
 # ---- actions ------------------------------------------------------------------------------------------
--- a/ospreyroute/decide.py
+++ b/ospreyroute/decide.py
@@ -36,12 +36,11 @@
 SCANNED = 32  # held jobs looked at when a slot falls free; bounds the work of one event
 RESERVE = 1.0  # slots a worker keeps free of over-quota jobs, by how little those are worth
 LIMIT = 2.0  # slots that a worker is taken to have before any of its kind has taught better
-KIND_WEIGHT, WAIT_WEIGHT = 0.02, 0.05  # weight of one observation, and of one wait, in a threshold
 PROMPT = 0.05  # seconds from a send to its start within which a slot was free
 HANDED_BACK = 0.1  # seconds after which a job sent back was not turned away at the door: a worker drains
 LEARN = 0.15  # weight of one observation in a worker's threshold and pace
-BLAME = 0.3  # weight of one outcome in a worker's failure share: two failures outweigh a good past
-PEER_BLAME = 0.15  # the same for an outcome that a peer tells of: one alone does not bench
+KIND_WEIGHT, WAIT_WEIGHT = 0.02, 0.05  # weight of one observation, and of one wait, in a kind's threshold
+BLAME, PEER_BLAME = 0.3, 0.15  # weight of one failure, own or told by a peer: one of a peer's does not bench
 BENCH_SHARE, TRUST_SHARE = 0.25, 0.15  # failure share at which a worker is benched, and is trusted again
 TRIAL_PRAISE = 0.5  # weight of a good outcome while it is tried: its past is long
 TRIAL_TURN = 1.0  # seconds for each peer, over which a large group spreads its first trial jobs
@@ -272,8 +271,7 @@
     # ---- buckets and fleet rate ---------------------------------------------------------------------------
 
     def on_job(self, job: api.Job) -> None:
-        cls = self.settings.classes[job.cls]
-        work = job.size_hint or 1.0
+        cls, work = self.settings.classes[job.cls], job.size_hint or 1.0
         run = job.size_hint or SHORT * self.pace
         expected = job.size_hint * self.pace or run
         # The aim counts from the client's first try. A later one is marked or, where clients do not mark
@@ -391,6 +389,11 @@
             bucket.admitted = smooth(bucket.admitted, bucket.allowed, span, memory)
             bucket.allowed = bucket.denied = 0.0
 
+    def on_stalled(self, event: api.Stalled) -> None:
+        self.fleet.woke(self.now)
+        for worker in self.workers.values():
+            worker.last_sign += event.seconds  # their silence in that time was its own
+
     def on_peer(self, event: api.PeerMessage) -> None:
         for word in self.fleet.hear(self.now, event.peer, event.payload):
             if isinstance(word, peerwire.Report):
@@ -630,8 +633,7 @@
 
     def learn(self, attempt: _Attempt, request: _Request, event: api.Outcome) -> None:
         worker, outcome = attempt.worker, event.outcome
-        unheard = worker.last_sign <= attempt.sent_at  # nothing came from it while the attempt was out
-        age = self.now - attempt.sent_at  # impatient clients end one before a mean job does: no sign
+        unheard, age = worker.last_sign <= attempt.sent_at, self.now - attempt.sent_at  # clients leave early
         if outcome in (api.SERVED, api.ERROR):
             worker.last_sign = self.now  # a time-out or a word from its door does not show that it works
         out = self.out(worker)
@@ -680,8 +682,7 @@
             worker.connect_after = self.now + BENCH_FIRST * (0.75 + 0.5 * self.random.random())
         failed = outcome == api.ERROR or outcome == api.NO_CONNECTION and doubted
         if outcome == api.RESET:
-            # A connection may break under one job while the worker serves the others: two without a sign of
-            # life between them are its fault. When it is down, the next connection says so at no cost.
+            # One may break while the worker serves the others: two without a sign between them are its fault.
             failed, worker.broke_at = worker.last_sign <= worker.broke_at, self.now
         if failed or outcome == api.TIMEOUT and unheard and age > self.job_time:
             self.blame(worker, BLAME)
@@ -872,7 +873,7 @@
         api.Start: on_start, api.Membership: on_membership, api.Maintenance: on_maintenance,
         api.Elsewhere: on_elsewhere, api.Job: on_job, api.Outcome: on_outcome,
         api.Notice: on_notice, api.StreamStarted: on_gone, api.ClientGone: on_gone,
-        api.PeerMessage: on_peer, api.Timer: on_timer,
+        api.PeerMessage: on_peer, api.Timer: on_timer, api.Stalled: on_stalled,
     }  # fmt: skip
 
 
--- a/ospreyroute/fleet.py
+++ b/ospreyroute/fleet.py
@@ -187,6 +187,16 @@
     def start(self, now: float) -> None:
         self._hub_heard = self._told_at = now
 
+    def woke(self, now: float) -> None:
+        """This dispatcher stood still: others may lead by now, and what it had heard is old."""
+        self.start(now)
+        if self.direct:
+            return
+        self.hub, self.board = None, Board()
+        self.seen.clear()
+        for peer in self.peers.values():
+            peer.out.clear()
+
     def note(self, now: float, key: int, what: int, slots: int) -> None:
         """An own send, or its end."""
         by = slots if what == peerwire.SENT else -slots
--- /dev/null
+++ b/tests/recovery/test_rehearsals.py
@@ -0,0 +1,81 @@
+"""Several processes of the program with faults between them, judged by what clients, boxes and logs wrote down."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from pathlib import Path
+
+import pytest
+
+from beaconhinge.cli import main
+from beaconhinge.standin.rig import Fault, Story, StoryError, Verdict, play, read
+from beaconhinge.standin.rig.verdict import Asked, benched, run_twice, unexcused
+
+SMALL = {"processes": 4, "boxes": 6, "slots": 8, "rate": 50.0, "render_s": 0.15, "publish_s": 0.4,
+         "patience_s": 0.8, "seconds": 6.0}
+
+
+def rehearsed(*stories: Story) -> list[Verdict]:
+    async def all_of_them() -> list[Verdict]:
+        return list(await asyncio.gather(*(play(story) for story in stories)))
+
+    return asyncio.run(all_of_them())
+
+
+def test_stopped_processes_blame_nobody_and_are_believed_by_nobody() -> None:
+    """Without the stall watch no stall is told, and timed-out jobs bench boxes here and at the others."""
+    stopped = [Fault(1.0, "stop", 2.0, [1])]
+    stories = [
+        Story("one", seed=1, faults=stopped, **SMALL),
+        Story("again and again", seed=2, faults=[Fault(at, "stop", 1.2, [2]) for at in (0.5, 2.0, 3.5)], **SMALL),
+        Story("all at once", seed=3, faults=[Fault(1.0, "stop", 2.0)], **SMALL),
+        Story("with half of the datagrams lost", seed=4, faults=[*stopped, Fault(0.5, "lossy", 4.0, part=0.5)], **SMALL),
+        Story("cut off, one direction", seed=5, faults=[*stopped, Fault(0.5, "cut", 4.0, [0], [1])], **SMALL),
+        Story("discovery out as it wakes", seed=6, faults=[*stopped, Fault(0.5, "discovery", 3.5)], **SMALL)]
+    for story, verdict in zip(stories, rehearsed(*stories), strict=True):
+        assert verdict.broken == [], (story.name, verdict.last)
+        assert verdict.counters["stalls"] >= len([f for f in story.faults if f.what == "stop"])
+        assert verdict.counters["datagrams_stale"] > 0 or story.name == "all at once"
+        assert verdict.served_after > 0.9 and verdict.asked > 150
+
+
+def test_a_process_that_is_killed_and_starts_empty_or_ends_by_sigterm_harms_nobody_else() -> None:
+    stories = [
+        Story("killed", seed=7, keyed=0.0, faults=[Fault(1.0, "kill", 0.5, [1], folder="empty")], **SMALL),
+        Story("ended", seed=8, keyed=0.0, faults=[Fault(1.0, "term", 0.5, [0])], **SMALL)]
+    for verdict in rehearsed(*stories):
+        assert verdict.broken == [], verdict.last
+        assert verdict.served_after > 0.9
+
+
+def test_the_checkers_see_what_is_wrong_and_excuse_what_a_fault_explains() -> None:
+    tries = [Asked("k", "publish", 0, 1.0, 2.0, "missing"), Asked("k", "publish", 1, 1.0, 2.0, "missing"),
+             Asked("", "render", 0, 9.0, 9.5, "missing"), Asked("", "render", 0, 9.0, 9.5, "503")]
+    assert unexcused(tries, [[(1.5, 4.0)], []], 0.5) == [tries[1], tries[2]]
+    assert run_twice({"a": 1, "b": 2, "c": 0}) == ["b"]
+    line = {"event": "module", "text": "worker 17 benched, failure share 0.30"}
+    other = {"event": "module", "text": "fleet rate cut to 3.00 after 3 full of 9"}
+    assert benched([line, other, line, {"event": "started"}]) == {"17": 2}
+
+
+def test_a_fault_that_hits_nothing_and_a_story_without_service_are_broken() -> None:
+    none = rehearsed(Story("nobody asks", seed=9, processes=2, boxes=1, rate=0.1, seconds=0.2, keyed=0.0,
+                           faults=[Fault(0.1, "cut", 0.01, [0], [0])]))[0]
+    assert "nothing was served" in none.broken and "the fault cut hit nothing" in none.broken
+
+
+def test_a_story_is_data_and_a_faulty_one_is_named_by_its_key(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    file = tmp_path / "story.toml"
+    for text, named in (('name = "x"\nsecond = 3.0', "second"), ('name = "x"\nprocesses = 900', "processes"),
+                        ('name = "x"\n[[faults]]\nwhat = "stop"\nat_s = 1.0\nfor_s = 1.0\nwho = [9]', "faults[0]"),
+                        ('name = "x"\n[[faults]]\nwhat = "burn"\nat_s = 1.0\nfor_s = 1.0', "what"), ("name", "key")):
+        file.write_text(text)
+        with pytest.raises(StoryError, match=".") as caught:
+            read(file)
+        assert named in str(caught.value)
+    file.write_text('name = "short"\nseconds = 0.5\nprocesses = 2\nboxes = 2\nracks = 1\nrate = 30.0\nkeyed = 0.0')
+    assert main(["rehearse", str(file), "--seed", "3", "--json"]) == 0
+    told = json.loads(capsys.readouterr().out)
+    assert told["well"] and told["seed"] == 3 and told["asked"] > 3
+    assert all(read(path).name for path in Path("deploy/rehearsals").glob("*.toml"))
--- /dev/null
+++ b/tests/recovery/test_stall.py
@@ -0,0 +1,104 @@
+"""A process that stood still: what it notices, whom it blames, what it still believes. No processes here."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from beaconhinge.recovery.stall import EXCUSED, StallWatch
+from beaconhinge.wheel import Wheel
+from ospreyroute import Dispatcher, Settings, api, peerwire
+from ospreyroute.fleet import Fleet
+
+SPANS = st.lists(st.floats(0.0, 30.0, allow_nan=False), min_size=1, max_size=8)
+
+
+@given(SPANS, st.floats(0.3, 5.0))
+def test_a_stall_is_noticed_once_exactly_where_two_turns_lie_too_far_apart(spans: list[float], after: float) -> None:
+    watch, now = StallWatch(after), 100.0
+    assert watch.feed(now) is None
+    for span in spans:
+        before, now = now, now + span
+        stall = watch.feed(now)
+        assert (stall is not None) == (now - before > after)
+        if stall is not None:
+            assert (stall.began, stall.ended) == (before, now)
+        assert watch.feed(now) is None
+
+
+@given(SPANS, st.floats(0.3, 5.0), st.integers(0, 8), st.sampled_from(sorted({*EXCUSED, api.SERVED, api.ERROR, api.FULL})))
+def test_own_time_and_blame_leave_out_what_the_process_slept_through(
+        spans: list[float], after: float, since: int, outcome: str) -> None:
+    watch, turns = StallWatch(after), [100.0]
+    watch.feed(100.0)
+    for span in spans:
+        turns.append(turns[-1] + span)
+        watch.feed(turns[-1])
+    sent = turns[min(since, len(turns) - 1)]
+    stood = [(a, b) for a, b in zip(turns, turns[1:], strict=False) if b - a > after]
+    ran = sum(b - a for a, b in zip(turns, turns[1:], strict=False) if a >= sent and b - a <= after)
+    assert math.isclose(watch.own_seconds(sent, turns[-1]), ran, abs_tol=1e-6)
+    excused = any(sent < ended for _, ended in stood)
+    assert watch.outcome(sent, outcome) == (EXCUSED.get(outcome, outcome) if excused else outcome)
+    assert watch.outcome(turns[-1] + 1, outcome) == outcome
+
+
+def test_timers_wait_for_the_sockets_after_a_stall_and_no_new_one_shortens_that() -> None:
+    async def story() -> list[str]:
+        loop, fired, failures = asyncio.get_running_loop(), [], []
+        wheel = Wheel(loop.time, lambda where, error: failures.append(where))
+        held = [0.05, 0.0]
+        wheel.held_for = lambda: held.pop(0) if held else 0.0
+        done = asyncio.Event()
+        wheel.after(0.0, lambda: fired.append("due"))
+        wheel.turn()  # after the stall: held
+        assert not fired
+        wheel.after(0.0, lambda: (fired.append("newer"), done.set()))
+        loop.call_soon(lambda: fired.append("socket"))
+        await asyncio.wait_for(done.wait(), 5)
+        assert not failures
+        return fired
+
+    assert asyncio.run(story()) == ["socket", "due", "newer"]
+
+
+def dispatcher(size: int) -> Dispatcher:
+    made = Dispatcher(Settings.from_pairs({
+        "requestClasses.count": "1", "requestClasses.0.aim": "0.25", "requestClasses.0.hardLimit": "7.5",
+        "groupSize": str(size), "myNumber": "0", "policyLimits.peers": "true"}), seed=1)
+    made.handle(100.0, api.Start())
+    made.handle(100.0, api.Membership(api.REMEMBERED, 1, [api.Member(worker=n) for n in range(4)]))
+    return made
+
+
+def test_boxes_are_not_silent_for_the_time_in_which_nobody_listened() -> None:
+    slept, awake = dispatcher(1), dispatcher(1)
+    for module in (slept, awake):
+        module.handle(100.1, api.Job(request=1, cls=0, tenant=0, remaining=7.5))
+        sent = next(iter(module.requests.values())).attempts[0].worker
+        module.job_time = 0.2
+        if module is slept:
+            module.handle(106.0, api.Stalled(5.8))
+        module.now = 106.0
+        assert module.silent(sent) == (module is awake)
+
+
+def test_a_leader_that_stood_still_listens_before_it_leads_again() -> None:
+    fleet = Fleet(40, 0, 1, 0.5)
+    fleet.start(100.0)
+    fleet.turn(101.0)
+    assert fleet.leads
+    fleet.woke(110.0)
+    fleet.turn(110.0)
+    assert not fleet.leads and not fleet.outbox[1:]
+    board = peerwire.encode_board(peerwire.Board(2, 1, 0, [(9, 3, 0, False)]))
+    assert len(list(fleet.hear(110.1, 7, board))) == 1
+    assert fleet.hub == 7 and fleet.others(9, 0.0) == 3
+
+
+def test_an_upgrade_of_nothing_else_follows_from_a_stall() -> None:
+    """It decides nothing by itself: no send, no refusal, no call."""
+    assert dispatcher(5).handle(104.0, api.Stalled(3.0)) == []
