--- a/beaconhinge/standin/rig/clients.py
+++ b/beaconhinge/standin/rig/clients.py
@@ -59,7 +59,7 @@
         head = {"Host": "service", "X-Request-ID": name, "X-Tenant-Id": "north",
                 "X-Timeout-Ms": str(int(1000 * seconds)), "Content-Length": "4"}
         head |= {"Idempotency-Key": key} if key else {}
-        head |= {"X-Retry": "1"} if again else {}
+        head |= {"X-Retried": "1"} if again else {}
         try_ = Asked(key, cls, at, time.monotonic())
         self.tries.append(try_)
         data = http1.request("POST", f"/{cls}".encode(), head, b"work")
--- a/ospreyroute/fleet.py
+++ b/ospreyroute/fleet.py
@@ -27,7 +27,7 @@
 BOARD_AFTER, BOARD_LEAST = 0.1, 0.02  # seconds between boards, and at least when a worker has failed
 REFRESHED = 4  # entries told again with each board, in turn: they mend what was lost
 LAG = 0.15  # seconds after which an own send shows on the board
-FAR_MOST = 80  # workers on a far board
+FAR_MOST = 24  # workers on a far board, those that changed most: each byte goes to all
 FAR_AFTER, FAR_GONE = 0.25, 1.0  # seconds between far boards, and after which one tells nothing any more
 NO_BOARD, STAGGER = 0.5, 0.03  # seconds without a board until the first, and each next one, becomes the hub
 
--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -87,3 +87,74 @@
     many = [api.Member(n, cell=n % 6, zone=n % 2) for n in range(3000)]
     dispatcher.handle(101.0, api.Membership(api.SNAPSHOT, 2, many))
     assert len({s.worker for n in range(200) for s in sends(dispatcher.handle(101.0, job(n)))}) > 150
+
+
+def led(number: int, now: float = 101.0) -> Fleet:
+    """A fleet of two hundred as one dispatcher knows it that has heard nobody, and so leads its circle."""
+    fleet = Fleet(200, number, number + 1, 0.5)
+    fleet.start(100.0)
+    fleet.turn(now)
+    assert fleet.leads
+    fleet.outbox.clear()
+    return fleet
+
+
+def pass_on(sender: Fleet, receivers: dict[int, Fleet], now: float, lost: int = -1) -> None:
+    told, sender.outbox[:] = list(sender.outbox), []
+    for number, payload in told:
+        if number in receivers and number != lost:
+            list(receivers[number].hear(now, sender.own_number, payload))
+
+
+def test_hubs_tell_each_other_and_a_circle_knows_what_all_others_have_out() -> None:
+    """By the own fifth alone a worker that others have filled looked free."""
+    near, far, mate = led(0), led(40), Fleet(200, 41, 9, 0.5)
+    mate.start(100.0)
+    known = {0: near, 40: far, 41: mate}
+    for _ in range(4):
+        near.note(101.0, 7, peerwire.SENT, 1)
+    now = 101.0
+    while now < 103.0:
+        now = round(now + 0.05, 3)
+        for fleet in (near, far, mate):
+            fleet.turn(now)
+            pass_on(fleet, known, now)
+    # Of four other circles one is heard: the others are taken to be like it.
+    assert far.others(7, 0.0) == mate.others(7, 0.0) == 16.0
+    assert near.others(7, 4.0) == 0.0
+    mate.turn(now + 1.1)
+    assert not mate.sees_far and mate.others(7, 0.0) == 0.0  # old news are no news: its circle stands for all
+
+
+def test_a_hub_that_is_no_more_is_looked_for_from_the_first_member_on_and_the_lower_one_counts() -> None:
+    fleet = led(0)
+    board = {n: peerwire.encode_board(peerwire.Board(n, 1, 0, [(7, n - 40, 0, False)])) for n in (41, 42, 43)}
+    circle = fleet.far[1]
+    assert list(circle.members) == list(range(40, 80))
+    assert [circle.contact(101.0) for _ in range(3)] == [40, 41, 42]
+    list(fleet.hear(101.0, 42, board[42]))
+    assert circle.contact(101.1) == 42 and circle.out[7] == 2
+    list(fleet.hear(101.1, 43, board[43]))  # it will give way
+    assert circle.hub == 42
+    list(fleet.hear(101.1, 41, board[41]))
+    assert circle.hub == 41 and circle.out[7] == 1
+    list(fleet.hear(101.2, 41, board[41]))  # repeated
+    assert circle.heard == 101.1
+    assert [circle.contact(102.0) for _ in range(2)] == [40, 41]
+    list(fleet.hear(102.0, 43, board[43]))  # the only one that is left
+    assert circle.hub == 43 and circle.out[7] == 3
+
+
+def test_boards_of_other_circles_are_for_hubs_and_far_boards_for_the_own_circle() -> None:
+    plain = peerwire.encode_board(peerwire.Board(1, 1, 0, [(7, 3, 0, False)]))
+    whole = peerwire.encode_board(peerwire.Board(1, 1, 0, [(7, 3, 0, False)], far=True))
+    assert (peerwire.decode(plain), peerwire.decode(whole)) == (
+        peerwire.Board(1, 1, 0, [(7, 3, 0, False)]), peerwire.Board(1, 1, 0, [(7, 3, 0, False)], far=True))
+    member = Fleet(200, 5, 1, 0.5)
+    member.start(100.0)
+    hub = led(0)
+    for payload, fleet in ((plain, member), (whole, hub)):
+        list(fleet.hear(101.0, 45, payload))
+        assert not fleet.sees_far and not any(circle.out for circle in fleet.far.values())
+    for cut in range(len(whole)):
+        list(hub.hear(101.0, 45, whole[:cut]))
