--- a/beaconhinge/net/keys.py
+++ b/beaconhinge/net/keys.py
@@ -10,7 +10,7 @@
 from ..recovery.keys import HERE, NOT_HERE, UNKNOWN, Inquiry, KeyBook, Question, Reply
 from ..request import Job, Known
 from ..stats import Stats
-from ..store import Delete, Put, Store, StoreError
+from ..store import Change, Delete, Put, Store, StoreError
 from ..wheel import Wheel
 from .peers import Peers
 
@@ -30,7 +30,7 @@
         self.stats = stats
         classes = [cls for number, cls in enumerate(config.settings.classes) if config.keyed(number)]
         window = max((cls.dedup_window + cls.deadline for cls in classes), default=0.0)
-        self.book = KeyBook(window, wheel.now(), store is not None and self._ours(store), max_keys, max_bytes)
+        self.book = KeyBook(window, self._unsure_until(window), max_keys, max_bytes)
         self._inquiries: dict[int, tuple[Inquiry, asyncio.Event]] = {}
         peers.talk = {keys.ASK: self._heard, keys.ANSWER: self._heard}
         if store is not None:
@@ -39,15 +39,19 @@
 
     # ---- the journal ---------------------------------------------------------------------------------------
 
-    def _owner(self) -> bytes:
-        return f"{self.config.name} {self.config.settings.own_number}".encode()
+    def _owner(self) -> Put:
+        number = self.config.settings.own_number
+        return Put(OWNER, keys.owner(self.config.name, number, self.book.unsure_until))
 
-    def _ours(self, store: Store) -> bool:
-        """Whether the journal is of this dispatcher: a copied folder tells nothing of what it had."""
-        try:
-            return store.get(OWNER) == self._owner()
-        except StoreError:
-            return False
+    def _unsure_until(self, window: float) -> float:
+        found = None
+        if self.store is not None:
+            try:
+                found = self.store.get(OWNER)
+            except StoreError:
+                pass  # as good as none
+        number = self.config.settings.own_number
+        return keys.unsure_until(found, self.config.name, number, self.wheel.now(), window)
 
     def _restore(self, store: Store) -> None:
         now, damaged = self.wheel.now(), 0
@@ -62,29 +66,34 @@
             damaged += 1
         if damaged:  # what it does not tell is not known
             self.book.unsure_until = now + self.book.window
+        self.stats.spawn(self._sign(), "keys")
         self.stats.log("keys_restored", keys=len(self.book), damaged=damaged,
                        unsure_for=max(0.0, self.book.unsure_until - now))
 
+    async def _sign(self) -> None:
+        await self._commit([self._owner()])
+
     async def _write(self, name: int, job: Job) -> bool:
         """Whether it is on the disk that this dispatcher has the key."""
         if self.store is None:
             return True
         put = Put(PREFIX + name.to_bytes(8, "big"), keys.record(self.wheel.now(), job.id))
+        return await self._commit([self._owner(), put])
+
+    async def _forget(self, names: list[int]) -> None:
+        """Where that fails, they are too old at the next start as well."""
+        await self._commit([Delete(PREFIX + name.to_bytes(8, "big")) for name in names])
+
+    async def _commit(self, changes: list[Change]) -> bool:
         try:
             async with asyncio.timeout(DISK_WITHIN):
-                await self.store.commit([Put(OWNER, self._owner()), put])
+                if self.store is not None:
+                    await self.store.commit(changes)
             return True
         except (StoreError, TimeoutError) as error:
             self.stats.complain("keys_not_written", why=f"{type(error).__name__}: {error}")
             return False
 
-    async def _forget(self, names: list[int]) -> None:
-        assert self.store is not None
-        try:
-            await self.store.commit([Delete(PREFIX + name.to_bytes(8, "big")) for name in names])
-        except StoreError as error:  # they are too old at the next start as well
-            self.stats.complain("keys_not_written", why=error)
-
     def _sweep(self) -> None:
         self.wheel.after(SWEEP, self._sweep)
         old = self.book.sweep(self.wheel.now())
--- a/beaconhinge/recovery/keys.py
+++ b/beaconhinge/recovery/keys.py
@@ -63,6 +63,21 @@
     return taken_at, data[_RECORD.size:].decode()
 
 
+def owner(name: str, number: int, unsure_until: float) -> bytes:
+    """Says whose journal it is, and until when even that dispatcher does not know all that it had."""
+    return _RECORD.pack(unsure_until) + f"{number} {name}".encode()
+
+
+def unsure_until(found: bytes | None, name: str, number: int, now: float, window: float) -> float:
+    """By the journal's own word. One that is new, another's or damaged tells nothing; the clock may have
+    stepped, so that nobody waits for longer than the window.
+    """
+    if found is None or found[_RECORD.size:] != owner(name, number, 0.0)[_RECORD.size:]:
+        return now + window
+    (until,) = _RECORD.unpack_from(found)
+    return min(until, now + window) if until == until else now + window
+
+
 @dataclass(slots=True)
 class _Key:
     request: str
@@ -72,15 +87,13 @@
 
 
 class KeyBook:
-    """`complete`: whether it holds all that earlier lives had. Otherwise what is not in it is not known until
-    the window after `started` is over.
-    """
+    """Until `unsure_until` it may not hold all that earlier lives had, and what is not in it is not known."""
 
-    def __init__(self, window: float, started: float, complete: bool, max_keys: int, max_bytes: int) -> None:
+    def __init__(self, window: float, unsure_until: float, max_keys: int, max_bytes: int) -> None:
         self.window = window
         self.max_keys = max_keys
         self.max_bytes = max_bytes
-        self.unsure_until = started if complete else started + window
+        self.unsure_until = unsure_until
         self.results_dropped = 0
         self.overflows = 0
         self._keys: dict[int, _Key] = {}
--- a/beaconhinge/standin/rig/clients.py
+++ b/beaconhinge/standin/rig/clients.py
@@ -13,7 +13,8 @@
 from .verdict import Asked
 
 GRACE = 2.0  # seconds beyond a try's own time after which its answer counts as missing
-AGAIN = 0.3  # seconds until a client with a key comes again
+KEYED = 1.5  # times the patience that a client with a key gives each try, of three times in all
+AGAIN = 0.3  # seconds until it comes again
 
 
 class Clients:
@@ -51,7 +52,8 @@
         while not self.answered[number] and (left := until - time.monotonic()) > AGAIN:
             name = f"{number[:-2]}{turn % 256:02x}"
             at = order[turn % len(order)]
-            self.answered[number] = await self._ask("publish", number, name, at, left, turn > 0) == "200"
+            most = min(left, KEYED * self.story.patience_s)
+            self.answered[number] = await self._ask("publish", number, name, at, most, turn > 0) == "200"
             turn += 1
             await asyncio.sleep(0.0 if self.answered[number] else AGAIN)
 
@@ -65,7 +67,7 @@
         data = http1.request("POST", f"/{cls}".encode(), head, b"work")
         try_.end = "missing"
         try:
-            async with asyncio.timeout(seconds + GRACE):
+            async with asyncio.timeout(seconds + (GRACE / 2 if key else GRACE)):
                 try:
                     try_.end = str((await self.callers[at].call(data)).status)
                 except (Closed, ConnectionError):  # it crossed the end of a kept connection
--- a/beaconhinge/standin/rig/play.py
+++ b/beaconhinge/standin/rig/play.py
@@ -14,6 +14,9 @@
 from pathlib import Path
 
 from ...inventory import worker_number
+from ...net.keys import OWNER
+from ...recovery import keys
+from ...store import Put, Store
 from ..boxes import Box, Rack
 from ..discovery import Discovery
 from ..http import Server
@@ -79,6 +82,8 @@
         for server in self._servers():
             server.start()
         try:
+            if self.story.store:
+                await asyncio.gather(*(self._settle(process) for process in self.processes))
             await asyncio.gather(*(process.start() for process in self.processes))
             self.began = time.monotonic()
             faults = [asyncio.create_task(self._fault(fault)) for fault in self.story.faults]
@@ -99,6 +104,13 @@
     def _servers(self) -> list[Server]:
         return [*(found.server for found in self.lists), *(s for box in self.boxes for s in box.servers)]
 
+    async def _settle(self, process: Process) -> None:
+        """Its folder is that of a dispatcher which has run for long: its journal of keys is whole."""
+        process.folder.mkdir()
+        store = Store.open(process.folder / "store")
+        await store.commit([Put(OWNER, keys.owner(f"n{process.number}", process.number, 0.0))])
+        await store.close()
+
     def _say(self, what: str) -> None:
         line = f"{time.monotonic() - self.began:7.2f} s  {what}"
         self.events.append(line)
--- a/beaconhinge/standin/rig/story.py
+++ b/beaconhinge/standin/rig/story.py
@@ -46,7 +46,7 @@
     keyed: float = 0.2  # part of them that is `publish`
     render_s: float = 0.25  # mean run time
     publish_s: float = 1.0
-    patience_s: float = 3.0  # that a client waits; three times that for `publish`
+    patience_s: float = 3.0  # that a client waits; three times that for `publish`, over several tries
     seconds: float = 10.0  # in which clients ask
     recovery: bool = True
     store: bool = True  # whether dispatchers keep one in their folder
--- a/tests/recovery/test_keys.py
+++ b/tests/recovery/test_keys.py
@@ -15,7 +15,7 @@
 
 
 def book(complete: bool = True, most: int = 100, room: int = 1000) -> KeyBook:
-    return KeyBook(WINDOW, 100.0, complete, most, room)
+    return KeyBook(WINDOW, 100.0 if complete else 100.0 + WINDOW, most, room)
 
 
 def test_a_key_is_here_from_its_taking_on_until_the_window_after_its_end() -> None:
@@ -40,6 +40,16 @@
     assert whole.word(100.0 + WINDOW - 0.1, 9) == HERE and whole.word(100.0 + WINDOW, 9) == NOT_HERE
 
 
+def test_a_journal_tells_only_its_own_dispatcher_and_says_what_it_does_not_know() -> None:
+    assert keys.unsure_until(None, "n", 1, 100.0, WINDOW) == 160.0  # an empty folder
+    assert keys.unsure_until(keys.owner("n", 1, 0.0), "n", 1, 100.0, WINDOW) == 0.0
+    # Empty a moment ago and killed again: what the life before that had is still not known.
+    assert keys.unsure_until(keys.owner("n", 1, 150.0), "n", 1, 100.0, WINDOW) == 150.0
+    assert keys.unsure_until(keys.owner("n", 1, 1e9), "n", 1, 100.0, WINDOW) == 160.0  # the clock stepped back
+    for other in (keys.owner("m", 1, 0.0), keys.owner("n", 2, 0.0), b"", b"1234", keys.owner("n", 1, float("nan"))):
+        assert keys.unsure_until(other, "n", 1, 100.0, WINDOW) == 160.0
+
+
 def test_results_are_kept_for_who_comes_again_and_dropped_before_the_memory_that_it_ran() -> None:
     made = book(room=10)
     for key, request, result in ((1, "a", b"12345678"), (2, "b", b"123")):
@@ -86,10 +96,13 @@
     def __init__(self) -> None:
         self.disk: dict[int, tuple[float, str]] = {}
         self.up = True
+        self.unsure_until = 0.0
         self.start(100.0, True)
 
     def start(self, now: float, complete: bool) -> None:
-        self.book = KeyBook(WINDOW, now, complete, 1000, 10_000)
+        known = keys.owner("n", 1, self.unsure_until) if complete else None
+        self.unsure_until = keys.unsure_until(known, "n", 1, now, WINDOW)
+        self.book = KeyBook(WINDOW, self.unsure_until, 1000, 10_000)
         for key, (at, request) in self.disk.items():
             self.book.restore(now, key, at, request)
 
--- a/tests/recovery/test_rehearsals.py
+++ b/tests/recovery/test_rehearsals.py
@@ -56,16 +56,21 @@
     stories = [
         Story("all lose power", seed=11, faults=[Fault(1.5, "kill", 0.3)], **many),
         Story("all lose power, no disk", seed=12, store=False, faults=[Fault(1.5, "kill", 0.3)], **many),
-        Story("one comes back empty, twice", seed=13, **many,
-              faults=[Fault(at, "kill", 0.2, [1], folder="empty") for at in (1.0, 3.5)]),
+        Story("one comes back empty, and once more", seed=13, **many,
+              faults=[Fault(1.0, "kill", 0.2, [1], folder="empty"), Fault(3.5, "kill", 0.2, [1])]),
         Story("stopped beyond every patience, and cut in two", seed=14, **many,
               faults=[Fault(1.0, "stop", 3.5, [2]), *halves])]
     for story, verdict in zip(stories, rehearsed(*stories), strict=True):
         assert verdict.broken == [], (story.name, verdict.last)
         assert verdict.keys > 40 and verdict.runs > 40, story.name
-        assert sum(verdict.counters.get(f"keys_{word}", 0) for word in ("here", "elsewhere", "unknown")) > 0
-    assert sum(verdict.counters.get("keys_answered", 0) for verdict in rehearsed(
-        Story("a connection is lost, the job is not", seed=15, faults=[Fault(1.0, "stop", 3.0, [0])], **many))) > 0
+        assert sum(verdict.counters.get(f"keys_{word}", 0) for word in ("here", "elsewhere", "unknown")) > 0, story.name
+
+
+def test_a_client_that_comes_again_has_the_result_that_was_told_to_the_next_life() -> None:
+    patient = {**SMALL, "processes": 3, "rate": 30.0, "keyed": 0.6, "publish_s": 1.5, "patience_s": 2.5, "seconds": 4.0}
+    verdict = rehearsed(Story("power", seed=15, faults=[Fault(1.5, "kill", 0.2)], **patient))[0]
+    assert verdict.broken == []
+    assert verdict.counters["keys_results_late"] > 0 and verdict.counters["keys_answered"] > 0
 
 
 def test_the_checkers_see_what_is_wrong_and_excuse_what_a_fault_explains() -> None:
