--- a/ospreyroute/decide.py
+++ b/ospreyroute/decide.py
@@ -755,9 +755,8 @@
                 self.actions.append(api.Cancel(request.id, number))
 
     def copy_stranded(self) -> None:
-        """A job on a worker that has fallen silent may never end there, one on a worker that has slowed down
-        will be late, and one whose start is not told may never have arrived: a copy takes a free slot.
-        """
+        """Jobs on a worker that fell silent may never end, on one that has slowed down they will be late, and one
+        whose start is not told may never have arrived: a copy takes a free slot."""
         if not self.settings.tells_start:
             return
         self.fleet_speed = median([self.speed(w) for w in self.pool[-1]] or [1.0])
@@ -768,7 +767,8 @@
 
     def stranded(self, request: _Request, attempt: _Attempt) -> bool:
         if not attempt.noticed:
-            return self.now - max(attempt.sent_at, attempt.worker.last_sign) > UNNOTICED
+            lost = self.now - max(attempt.sent_at, attempt.worker.last_sign) > UNNOTICED
+            return lost and not (self.many and self.rate < INF)  # in a full fleet a copy would wait as well
         if self.silent(attempt.worker):
             return True
         if attempt.rate >= SLOW * attempt.full_rate * self.fleet_speed:
