--- a/beaconhinge/net/keys.py
+++ b/beaconhinge/net/keys.py
@@ -114,14 +114,17 @@
             return Known(doubted=True)
         ask = job.repeat or not self.config.settings.marks_retry or self.book.claimed(now, name)
         self.book.take(now, name, job.id)
-        verdict = NOT_HERE
-        if ask:
-            verdict = UNKNOWN if now < self.book.unsure_until else await self._inquire(name)
-            self.stats.count({HERE: "keys_elsewhere", UNKNOWN: "keys_unknown"}.get(verdict, "keys_free"))
-        if verdict == NOT_HERE and await self._write(name, job):
-            return Known(entered=True)
-        self.book.leave(self.wheel.now(), name, False, None)
-        return Known(doubted=True)
+        entered = False
+        try:
+            verdict = NOT_HERE
+            if ask:
+                verdict = UNKNOWN if now < self.book.unsure_until else await self._inquire(name)
+                self.stats.count({HERE: "keys_elsewhere", UNKNOWN: "keys_unknown"}.get(verdict, "keys_free"))
+            entered = verdict == NOT_HERE and await self._write(name, job)
+        finally:  # it may be given up for want of time
+            if not entered:
+                self.book.leave(self.wheel.now(), name, False, None)
+        return Known(doubted=not entered, entered=entered)
 
     def left(self, job: Job, may_have_run: bool, result: bytes | None) -> None:
         """The request that `enter` let in has ended."""
--- a/beaconhinge/request.py
+++ b/beaconhinge/request.py
@@ -213,10 +213,8 @@
         backstop = self.all.wheel.after(late, lambda: self._steps.put_nowait(Overdue()))
         known = Known()
         try:
-            if self.all.before is not None:
-                await self.all.before()
-            if self.all.keys is not None and job.dedup_key:
-                known = await self.all.keys.enter(job)
+            if self.all.before is not None or self.all.keys is not None and job.dedup_key:
+                known = await self._known()
             if known.result is not None:
                 self._finish(Answer(api.SERVED, known.result))
                 return
@@ -267,6 +265,20 @@
             core.requests.pop(self.number, None)
             del self.all.in_hand[job.id]
 
+    async def _known(self) -> Known:
+        """What is found out before the module hears of the job, in half of its time at most: a slow disk, or
+        dispatchers that do not answer, must not cost it its answer.
+        """
+        try:
+            async with self.all.wheel.limit(self.job.remaining / 2):
+                if self.all.before is not None:
+                    await self.all.before()
+                if self.all.keys is not None and self.job.dedup_key:
+                    return await self.all.keys.enter(self.job)
+                return Known()
+        except TimeoutError:
+            return Known(doubted=bool(self.job.dedup_key))
+
     def _send(self, order: api.Send) -> None:
         now = self.all.wheel.now()
         until = min(self.job.deadline, now + order.timeout if order.timeout > 0 else self.job.deadline)
--- a/ospreyroute/decide.py
+++ b/ospreyroute/decide.py
@@ -755,8 +755,8 @@
                 self.actions.append(api.Cancel(request.id, number))
 
     def copy_stranded(self) -> None:
-        """Jobs on a worker that fell silent may never end, on one that has slowed down they will be late, and one
-        whose start is not told may never have arrived: a copy takes a free slot."""
+        """Jobs on a worker that fell silent may never end, on one that has slowed down they will be late, and
+        one whose start is not told may never have arrived: a copy takes a free slot."""
         if not self.settings.tells_start:
             return
         self.fleet_speed = median([self.speed(w) for w in self.pool[-1]] or [1.0])
