--- a/beaconhinge/net/keys.py
+++ b/beaconhinge/net/keys.py
@@ -97,6 +97,9 @@
     def _sweep(self) -> None:
         self.wheel.after(SWEEP, self._sweep)
         old = self.book.sweep(self.wheel.now())
+        forgotten, dropped = self.book.limits_hit()
+        self.stats.count("keys_forgotten", forgotten)
+        self.stats.count("keys_results_dropped", dropped)
         if old and self.store is not None:
             self.stats.spawn(self._forget(old), "keys")
 
--- a/beaconhinge/recovery/keys.py
+++ b/beaconhinge/recovery/keys.py
@@ -94,7 +94,7 @@
         self.max_keys = max_keys
         self.max_bytes = max_bytes
         self.unsure_until = unsure_until
-        self.results_dropped = 0
+        self.results_dropped = 0  # since `limits_hit` was last asked
         self.overflows = 0
         self._keys: dict[int, _Key] = {}
         self._names: dict[str, int] = {}  # by request
@@ -163,6 +163,12 @@
         self._keep(held, result)
         return True
 
+    def limits_hit(self) -> tuple[int, int]:
+        """Keys forgotten early, and results that found no room, since this was last asked."""
+        hit = self.overflows, self.results_dropped
+        self.overflows = self.results_dropped = 0
+        return hit
+
     def sweep(self, now: float) -> list[int]:
         """Forget what is too old to matter; their names."""
         old = [key for key, held in self._keys.items() if not held.in_hand and held.until <= now]
--- a/tests/recovery/test_keys.py
+++ b/tests/recovery/test_keys.py
@@ -72,7 +72,7 @@
     for key in range(4):
         made.take(100.0, key, f"r{key}")
         made.leave(100.0, key, True, None)
-    assert made.overflows == 1 and len(made) == 3
+    assert made.limits_hit() == (1, 0) and made.limits_hit() == (0, 0) and len(made) == 3
     assert made.word(101.0, 0) == UNKNOWN and made.word(101.0, 3) == HERE and made.word(101.0, 99) == UNKNOWN
     assert made.word(100.0 + WINDOW, 99) == NOT_HERE
 
