--- a/beaconhinge/standin/rig/process.py
+++ b/beaconhinge/standin/rig/process.py
@@ -17,7 +17,7 @@
 from ...net import http1
 from ...net.http1 import BadMessage, Closed
 from ..http import Caller
-from ..scene import START, SceneError
+from ..scene import START, SceneError, log_lines
 
 ENDING = 10.0  # seconds that SIGTERM may take
 
@@ -74,12 +74,7 @@
             self._down_at = None
 
     async def _read(self, process: asyncio.subprocess.Process) -> None:
-        assert process.stderr is not None
-        async for line in process.stderr:
-            try:
-                told = json.loads(line)
-            except ValueError:
-                told = {"event": "unread", "text": line.decode("utf-8", "replace").strip()}
+        async for told in log_lines(process):
             self.lines.append(told)
             if told["event"] == "counters":
                 self._told = {name: n for name, n in told.items() if isinstance(n, int)}
--- a/beaconhinge/standin/scene.py
+++ b/beaconhinge/standin/scene.py
@@ -73,6 +73,16 @@
         return int(sock.getsockname()[1])
 
 
+async def log_lines(process: asyncio.subprocess.Process) -> AsyncIterator[dict[str, Any]]:
+    """What a dispatcher whose log is JSON tells on its standard error; other lines as an event `unread`."""
+    assert process.stderr is not None
+    async for line in process.stderr:
+        try:
+            yield json.loads(line)
+        except ValueError:
+            yield {"event": "unread", "text": line.decode("utf-8", "replace").strip()}
+
+
 class Scene:
     def __init__(self, boxes: int, rate: float, seed: int, folder: Path) -> None:
         self.port = free_port()
@@ -122,12 +132,7 @@
             raise SceneError(f"the dispatcher was not up after {START:g} s") from None
 
     async def _read_log(self) -> None:
-        assert self.process.stderr is not None
-        async for line in self.process.stderr:
-            try:
-                told = json.loads(line)
-            except ValueError:
-                told = {"event": "unread", "text": line.decode("utf-8", "replace").strip()}
+        async for told in log_lines(self.process):
             self.lines.append(told)
             if told["event"] == "counters":
                 self.counters = {name: n for name, n in told.items() if isinstance(n, int)}
