--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -52,11 +52,11 @@
 
 def test_cold_boxes_of_a_zone_that_returns_stay_under_their_budget_with_every_datagram_lost() -> None:
     """By the sum of all dispatchers, in a full fleet; each with the whole budget would send twice as much."""
-    plan = Plan(trouble="zone", loss=1.0, load=1.0, dispatchers=40, boxes=60, seconds=9.0, at=1.0, seed=3)
+    plan = Plan(trouble="zone", loss=1.0, load=1.0, dispatchers=40, boxes=60, seconds=9.0, at=1.0, seed=2)
     world = World(plan)
     world.run()
     assert world.broken == []
-    assert 0.4 < result(world).cold_most < 1.0
+    assert 0.5 < result(world).cold_most < 1.0
 
 
 def test_calls_to_discovery_after_a_common_start_are_spread_and_all_get_a_list() -> None:
