Tell the module what time a job has left after its wait; mend the book's accounts and lost far boards

A key taken again before it was swept, or told twice, leaked the room of its result; a record could be deleted after a newer one of its key; a far board that was lost was never told again while nothing changed. Also: requests wait for a list only after a stall, not through a gate and a timer each; the wheel's limit in place of asyncio's; one call to discovery for what changed.

--- a/beaconhinge/net/discovery.py
+++ b/beaconhinge/net/discovery.py
@@ -101,12 +101,10 @@
 
     async def _follow(self) -> None:
         """One call for what was missed, which answers at once, then one watch after the other."""
-        wait, query, line = 0.0, "", _Line()
+        wait, line = 0.0, _Line()
         try:
             while True:
-                if self.version is not None:
-                    query = f"?index={self.version}&wait={wait * 1000:.0f}"
-                hosts = await self._call(line, query, wait)
+                hosts = await self._since(line, wait)
                 if hosts.hosts or hosts.full or wait == 0.0:  # an empty answer is news only to one who asked
                     self._tell(api.SNAPSHOT if hosts.full else api.CHANGES, hosts)
                 self.version, wait = hosts.version, WATCH
@@ -118,9 +116,9 @@
 
     async def refresh(self) -> None:
         """Have what has changed at once, beside the watch. Returns when it is there, or cannot be had."""
-        line, query = _Line(), "" if self.version is None else f"?index={self.version}&wait=0"
+        line = _Line()
         try:
-            hosts = await self._call(line, query, 0.0)
+            hosts = await self._since(line, 0.0)
             # The watch may have told more meanwhile, and its answers are older to it.
             if self.version is None or hosts.version >= self.version:
                 self._tell(api.SNAPSHOT if hosts.full else api.CHANGES, hosts)
@@ -142,6 +140,11 @@
         self.stats.complain("discovery_failed", why=f"{type(error).__name__}: {error}")
         self.core.feed(api.Membership(api.REFUSED))
 
+    async def _since(self, line: _Line, wait: float) -> Hosts:
+        """What has changed, or the whole list where none is known."""
+        query = "" if self.version is None else f"?index={self.version}&wait={wait * 1000:.0f}"
+        return await self._call(line, query, wait)
+
     async def _call(self, line: _Line, query: str, wait: float) -> Hosts:
         self.stats.count("discovery_calls")
         try:
--- a/beaconhinge/net/keys.py
+++ b/beaconhinge/net/keys.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
 
 from ..config import Config
@@ -81,12 +82,15 @@
         return await self._commit([self._owner(), put])
 
     async def _forget(self, names: list[int]) -> None:
-        """Where that fails, they are too old at the next start as well."""
-        await self._commit([Delete(PREFIX + name.to_bytes(8, "big")) for name in names])
+        """Where that fails, they are too old at the next start as well. One that has been taken again has a
+        newer record, which stays.
+        """
+        gone = [name for name in names if name not in self.book]
+        await self._commit([Delete(PREFIX + name.to_bytes(8, "big")) for name in gone])
 
     async def _commit(self, changes: list[Change]) -> bool:
         try:
-            async with asyncio.timeout(DISK_WITHIN):
+            async with self.wheel.limit(DISK_WITHIN):
                 if self.store is not None:
                     await self.store.commit(changes)
             return True
@@ -150,15 +154,13 @@
         self._inquiries[number] = inquiry, settled
         try:
             for _ in range(ASKED):
+                if inquiry.settled:
+                    break
                 for other in inquiry.silent:
                     self.peers.send(other, keys.encode(Question(number, name)))
-                if not inquiry.settled:
-                    try:
-                        async with asyncio.timeout(BETWEEN):
-                            await settled.wait()
-                    except TimeoutError:
-                        continue
-                break
+                with contextlib.suppress(TimeoutError):
+                    async with self.wheel.limit(BETWEEN):
+                        await settled.wait()
         finally:
             del self._inquiries[number]
         return inquiry.verdict
--- a/beaconhinge/net/recovery.py
+++ b/beaconhinge/net/recovery.py
@@ -41,17 +41,18 @@
         self.watch = StallWatch(after)
         self.core = core
         self.wheel = wheel
+        self.requests = requests
         self.discovery = discovery
         self.peers = peers
         self.stats = stats
         self.random = rng
-        self._settled: asyncio.Event | None = None  # set when the list asked for after a stall is there
+        self._settled = asyncio.Event()  # clear while a list is asked for after a stall
+        self._settled.set()
         self._held_until = 0.0  # for timers
         wheel.held_for = self._held_for
         core.woken = peers.woken = self.look
         requests.excuse = self._excuse
         requests.own_seconds = self.watch.own_seconds
-        requests.before = self._list_first
 
     def look(self) -> bool:
         """Whether the process has just gone on after a stall; all parts know it then."""
@@ -67,28 +68,28 @@
         self.stats.count("datagrams_stale", dropped)
         self.stats.log("stalled", seconds=stall.seconds, datagrams_dropped=dropped)
         self.core.feed(api.Stalled(stall.seconds))
-        if self._settled is None:
-            self._settled = asyncio.Event()
+        if self._settled.is_set():
+            self._settled.clear()
+            self.requests.before = self._list_first
             # Datagrams that waited show that others ran meanwhile; else all may wake at this moment.
             alone = dropped > 0 or self.peers.config.settings.group_size <= 1
             wait = 0.0 if alone else SPREAD * self.peers.config.settings.group_size * self.random()
-            self.stats.spawn(self._ask_anew(self._settled, wait), "list after a stall")
+            self.stats.spawn(self._ask_anew(wait), "list after a stall")
 
-    async def _ask_anew(self, settled: asyncio.Event, wait: float) -> None:
+    async def _ask_anew(self, wait: float) -> None:
         try:
             await asyncio.sleep(wait)
             await self.discovery.refresh()
         finally:
-            self._settled = None
-            settled.set()
+            self.requests.before = None
+            self._settled.set()
 
     async def _list_first(self) -> None:
-        if (settled := self._settled) is not None:
-            try:
-                async with asyncio.timeout(LIST_WITHIN):
-                    await settled.wait()
-            except TimeoutError:
-                self.stats.count("stall_list_late")
+        try:
+            async with self.wheel.limit(LIST_WITHIN):
+                await self._settled.wait()
+        except TimeoutError:
+            self.stats.count("stall_list_late")
 
     def _held_for(self) -> float:
         self.look()
--- a/beaconhinge/recovery/keys.py
+++ b/beaconhinge/recovery/keys.py
@@ -131,7 +131,9 @@
         return found.result if found else None
 
     def take(self, now: float, key: int, request: str) -> None:
-        """It is in hand from now on, and was not here."""
+        """It is in hand from now on, and was not here: at most it is too old, and not swept yet."""
+        if key in self._keys:
+            self._drop(key)
         if len(self._keys) >= self.max_keys:
             self.sweep(now)
         if len(self._keys) >= self.max_keys:
@@ -161,7 +163,7 @@
         if held is None or held.result is not None:
             return False
         self._keep(held, result)
-        return True
+        return held.result is not None
 
     def limits_hit(self) -> tuple[int, int]:
         """Keys forgotten early, and results that found no room, since this was last asked."""
@@ -181,11 +183,16 @@
     def __len__(self) -> int:
         return len(self._keys)
 
+    def __contains__(self, key: int) -> bool:
+        return key in self._keys
+
     def _known(self, now: float, key: int) -> _Key | None:
         held = self._keys.get(key)
         return held if held is not None and (held.in_hand or now < held.until) else None
 
     def _keep(self, held: _Key, result: bytes) -> None:
+        if held.result is not None:  # told by a worker while another attempt was out: the first stands
+            return
         if self._bytes + len(result) > self.max_bytes:
             self.results_dropped += 1  # it has run, and that stays known
             return
--- a/beaconhinge/request.py
+++ b/beaconhinge/request.py
@@ -211,14 +211,15 @@
         core.requests[self.number] = self._steps.put_nowait
         late = job.remaining + self.all.settings.grace_to_answer / 2
         backstop = self.all.wheel.after(late, lambda: self._steps.put_nowait(Overdue()))
-        known = Known()
+        known, left = Known(), job.remaining
         try:
             if self.all.before is not None or self.all.keys is not None and job.dedup_key:
                 known = await self._known()
+                left = max(job.deadline - self.all.wheel.now(), 0.0)  # that took time
             if known.result is not None:
                 self._finish(Answer(api.SERVED, known.result))
                 return
-            core.feed(api.Job(self.number, job.cls, job.tenant, job.remaining, job.route_key,
+            core.feed(api.Job(self.number, job.cls, job.tenant, left, job.route_key,
                               slots=job.slots, memory=job.memory, flags=api.REPEAT if job.repeat else 0,
                               doubted=known.doubted))
             if self.watcher is not None:
--- a/ospreyroute/fleet.py
+++ b/ospreyroute/fleet.py
@@ -99,7 +99,7 @@
 class Circle:
     """Another circle, as its hub tells the own one."""
 
-    members: range
+    members: list[int]
     asked: int = 0  # members told of the own board in turn, until the hub among them is known
     hub: int = -1
     incarnation: int = -1
@@ -117,7 +117,8 @@
         if not 0 < (told.sequence - self.sequence) & 0xFF <= 0x7F:
             return False
         self.sequence, self.heard = told.sequence, now
-        self.out.update({key: slots - self.out[key] for key, slots, _, _ in told.entries})
+        for key, slots, _, _ in told.entries:
+            self.out[key] = slots
         return True
 
     def contact(self, now: float) -> int:
@@ -136,19 +137,19 @@
         self.incarnation = incarnation
         self.report_after = report_after  # seconds between reports, at least
         self.circles = max(1, group_size // CIRCLE)
-        circle = own_number * self.circles // group_size
-        members = [n for n in range(group_size) if n * self.circles // group_size == circle]
+        of = [n * self.circles // group_size for n in range(group_size)]
+        circle = of[own_number]
+        members = [n for n in range(group_size) if of[n] == circle]
         self.rank = members.index(own_number)
         self.mates = [n for n in members if n != own_number]
         self.everyone = [-1] if self.circles == 1 else self.mates
         self.standing = (group_size - 1) / max(1, len(self.mates))  # for how many dispatchers a mate stands
-        of = [n * self.circles // group_size for n in range(group_size)]
-        self.far = {c: Circle(range(of.index(c), of.index(c) + of.count(c)))
+        self.far = {c: Circle([n for n in range(group_size) if of[n] == c])
                     for c in range(self.circles) if c != circle}
         self.abroad: Counter[int] = Counter()  # slots that other circles have out, by key of a worker
         self._abroad_at = self._far_at = -INF
-        self._far_told: dict[int, int] = {}  # as the hub
-        self._now = -INF
+        self._far_told: Counter[int] = Counter()  # as the hub, those told longest ago first
+        self._now = 0.0
         self.direct = len(self.mates) <= FEW
         self.outbox: list[tuple[int, bytes]] = []  # to whom, -1 for all
         self.sends = 0  # of the circle, as far as heard
@@ -256,24 +257,25 @@
             self._tell_far(now)
 
     def _tell_far(self, now: float) -> None:
-        """Sum up what other circles have out, and tell mates where that has changed most. Those that are not
-        heard are taken to be like those that are.
+        """Sum up what other circles have out, and tell mates where that has changed most, then what was told
+        longest ago, which mends what was lost. Circles that are not heard are taken to be like the others.
         """
         heard = [circle.out for circle in self.far.values() if now - circle.heard <= FAR_GONE]
         if not heard:
             return
-        scale, before = len(self.far) / len(heard), self.abroad
-        self.abroad = Counter({key: round(scale * sum(out[key] for out in heard))
-                               for key in {key for out in heard for key in out}})
+        scale, sums = len(self.far) / len(heard), Counter[int]()
+        for out in heard:
+            sums.update(out)
+        self.abroad = Counter({key: round(scale * slots) for key, slots in sums.items()})
         self._abroad_at = now
-        for key in before:
-            self.abroad.setdefault(key, 0)
-        self._far_told.update({key: 0 for key in self.abroad if key not in self._far_told})
-        most = sorted(self.abroad, key=lambda key: -abs(self.abroad[key] - self._far_told[key]))
-        entries = [(key, self.abroad[key], 0, False) for key in most[:FAR_MOST]]
-        self._far_told.update({key: slots for key, slots, _, _ in entries})
-        page = peerwire.Board(self.incarnation, self._next(), 0, entries, far=True)
-        payload = peerwire.encode_board(page)
+        # Sorting keeps the order of what has changed alike, or not at all: the one told longest ago is first.
+        order = sorted({**self._far_told, **self.abroad},
+                       key=lambda key: -abs(self.abroad[key] - self._far_told[key]))
+        for key in order[:FAR_MOST]:
+            del self._far_told[key]
+            self._far_told[key] = self.abroad[key]
+        entries = [(key, self.abroad[key], 0, False) for key in order[:FAR_MOST]]
+        payload = peerwire.encode_board(peerwire.Board(self.incarnation, self._next(), 0, entries, far=True))
         self.outbox += [(n, payload) for n in self.everyone]
 
     def _next(self) -> int:
@@ -328,7 +330,8 @@
         self._hub_heard = now
         if told.far:
             self._abroad_at = now
-            self.abroad.update({key: slots - self.abroad[key] for key, slots, _, _ in told.entries})
+            for key, slots, _, _ in told.entries:
+                self.abroad[key] = slots
             return
         self.sends += told.sends
         for key, slots, failures, served in told.entries:
--- a/tests/recovery/test_keys.py
+++ b/tests/recovery/test_keys.py
@@ -67,6 +67,26 @@
     assert made.result(302.0, 4) == b"1234567890"
 
 
+def test_a_key_that_is_taken_again_after_its_window_gives_back_the_room_of_its_result() -> None:
+    made = book(room=10)
+    for turn in range(4):  # never swept in between
+        at = 100.0 + 2 * WINDOW * turn
+        made.take(at, 1, f"r{turn}")
+        assert not made.told(at, f"r{turn - 1}", b"late for the life before")
+        made.leave(at, 1, True, b"12345678")
+        assert made.result(at, 1) == b"12345678"
+    made.take(900.0, 2, "twice")
+    assert not made.told(900.0, "twice", b"12345678") and made.limits_hit() == (0, 1)  # no room beside the other
+    made.sweep(900.0)
+    assert made.told(900.0, "twice", b"12345678")
+    made.leave(901.0, 2, True, b"87654321")  # another attempt's, counted once
+    assert made.result(901.0, 2) == b"12345678"
+    made.take(1100.0, 3, "next")
+    made.leave(1100.0, 3, True, b"1234567890")
+    made.sweep(1100.0)
+    assert made.limits_hit() == (0, 1) and 2 not in made and 3 in made
+
+
 def test_a_full_book_says_that_it_does_not_know_what_it_forgot() -> None:
     made = book(most=3)
     for key in range(4):
--- /dev/null
+++ b/tests/recovery/test_requests.py
@@ -0,0 +1,81 @@
+"""What a job waits for before the module hears of it costs it that time, and no more than half of its own."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+import pytest
+
+from beaconhinge.core import Core
+from beaconhinge.request import Job, Known, Requests
+from beaconhinge.stats import Stats
+from beaconhinge.wheel import Wheel
+from ospreyroute import Settings, api
+
+
+class Refusing:
+    """A module that refuses each job, and keeps what it was told."""
+
+    def __init__(self) -> None:
+        self.heard: list[Any] = []
+
+    def handle(self, now: float, event: api.Event) -> list[api.Action]:
+        self.heard.append(event)
+        return [api.Refuse(event.request, 0.0)] if isinstance(event, api.Job) else []
+
+
+class Slow:
+    """A book of keys that takes so long; a process that stands still meanwhile moves its clock."""
+
+    def __init__(self, wait: Any) -> None:
+        self.wait = wait
+        self.ended: list[bool] = []
+
+    async def enter(self, job: Job) -> Known:
+        await self.wait()
+        return Known(entered=True)
+
+    def left(self, job: Job, may_have_run: bool, result: bytes | None) -> None:
+        self.ended.append(may_have_run)
+
+
+def taken(wait: Any, clock: list[float], remaining: float) -> tuple[list[api.Job], list[bool], str]:
+    async def story() -> tuple[list[api.Job], list[bool], str]:
+        module, told = Refusing(), []
+        stats = Stats(lambda: clock[0], writer=lambda event, fields: told.append(event))
+        wheel = Wheel(lambda: clock[0], stats.failure)
+        requests = Requests(Core(module, wheel, stats), None, wheel, stats, Settings.from_pairs({  # type: ignore[arg-type]
+            "requestClasses.count": "1", "requestClasses.0.aim": "0.25", "requestClasses.0.hardLimit": "7.5"}), ["publish"])
+        book = requests.keys = Slow(wait)
+        job = Job("a", 0, 0, remaining, clock[0], b"/publish", b"", dedup_key="k")
+        answer = await asyncio.wait_for(requests.take(job).answer, 5)
+        await asyncio.sleep(0)
+        return [e for e in module.heard if isinstance(e, api.Job)], book.ended, answer.end
+
+    return asyncio.run(story())
+
+
+@pytest.mark.parametrize(("passed", "left"), [(0.4, 0.6), (0.0, 1.0), (9.0, 0.0)])
+def test_the_module_hears_how_much_time_is_left_after_the_wait(passed: float, left: float) -> None:
+    """Told the whole, it held a job past its deadline by as much as was waited before."""
+    clock = [100.0]
+
+    async def wait() -> None:
+        clock[0] += passed
+
+    jobs, ended, end = taken(wait, clock, 1.0)
+    assert len(jobs) == 1 and jobs[0].remaining == pytest.approx(left) and not jobs[0].doubted
+    assert ended == [False] and end == "refused"
+
+
+def test_who_waits_for_too_long_is_refused_as_doubted() -> None:
+    clock = [100.0]
+
+    async def wait() -> None:
+        clock[0] += 0.6  # past the half, as the wheel sees it next
+        await asyncio.Event().wait()
+
+    jobs, ended, end = taken(wait, clock, 1.0)
+    assert len(jobs) == 1 and jobs[0].doubted and jobs[0].remaining == pytest.approx(0.4)
+    assert ended == [] and end == "refused"
--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -158,6 +158,22 @@
     assert circle.hub == 43 and circle.out[7] == 3
 
 
+def test_a_far_board_that_was_lost_is_mended_though_nothing_changes() -> None:
+    near, far, mate = led(0), led(40), Fleet(200, 41, 9, 0.5)
+    mate.start(100.0)
+    for key in range(40):  # more than one board names
+        near.note(101.0, key, peerwire.SENT, 1)
+    now = 101.0
+    while now < 106.0:
+        now = round(now + 0.05, 3)
+        for fleet in (near, far, mate):
+            fleet.turn(now)
+        pass_on(near, {40: far}, now)
+        pass_on(far, {0: near} if now < 103.0 else {0: near, 41: mate}, now)
+        pass_on(mate, {}, now)
+    assert [mate.others(key, 0.0) for key in range(40)] == [4.0] * 40
+
+
 def test_boards_of_other_circles_are_for_hubs_and_far_boards_for_the_own_circle() -> None:
     plain = peerwire.encode_board(peerwire.Board(1, 1, 0, [(7, 3, 0, False)]))
     whole = peerwire.encode_board(peerwire.Board(1, 1, 0, [(7, 3, 0, False)], far=True))
