--- a/beaconhinge/standin/http.py
+++ b/beaconhinge/standin/http.py
@@ -92,6 +92,13 @@
             connection.close()
         return message
 
+    async def ask(self, data: bytes) -> Message:
+        """As clients do: a request that crossed the end of a kept connection goes once more, on a new one."""
+        try:
+            return await self.call(data)
+        except (Closed, ConnectionError):
+            return await self.call(data, fresh=True)
+
     def _take(self) -> Connection | None:
         while self._idle:
             connection = self._idle.pop()
