Judge the exit status of a process that ends in the midst of a story

The statuses at the story's end took the place of those before, so that a bad end by SIGTERM was never seen: found by rereading. The test fails without the change.

--- a/beaconhinge/standin/rig/play.py
+++ b/beaconhinge/standin/rig/play.py
@@ -88,7 +88,7 @@
             asking = asyncio.create_task(self.clients.run())
             await asyncio.gather(asking, *faults)
             await asyncio.sleep(SETTLED)
-            self.statuses = list(await asyncio.gather(*(p.end(signal.SIGTERM) for p in self.processes)))
+            self.statuses += await asyncio.gather(*(p.end(signal.SIGTERM) for p in self.processes))
         finally:
             for process in self.processes:
                 process.signal(signal.SIGKILL)
--- a/tests/recovery/test_rehearsals.py
+++ b/tests/recovery/test_rehearsals.py
@@ -10,6 +10,7 @@
 
 from beaconhinge.cli import main
 from beaconhinge.standin.rig import Fault, Story, StoryError, Verdict, play, read
+from beaconhinge.standin.rig.play import Play
 from beaconhinge.standin.rig.verdict import Asked, benched, run_twice, unexcused
 
 SMALL = {"processes": 4, "boxes": 6, "slots": 8, "rate": 50.0, "render_s": 0.15, "publish_s": 0.4,
@@ -89,6 +90,17 @@
     assert benched([line, other, line, {"event": "started"}]) == {"17": 2}
 
 
+def test_a_process_that_ends_badly_in_the_midst_of_a_story_breaks_it(tmp_path: Path) -> None:
+    class Badly(Play):
+        async def _restart(self, fault: Fault, who: list[int]) -> int:
+            self.statuses.append(7)
+            return len(who)
+
+    story = Story("badly", seed=16, processes=1, boxes=1, racks=1, rate=30.0, seconds=0.5, keyed=0.0,
+                  faults=[Fault(0.1, "term", 0.1, [0])])
+    assert asyncio.run(Badly(story, tmp_path).run()).broken == ["a dispatcher ended with status 7"]
+
+
 def test_a_fault_that_hits_nothing_and_a_story_without_service_are_broken() -> None:
     none = rehearsed(Story("nobody asks", seed=9, processes=2, boxes=1, rate=0.1, seconds=0.2, keyed=0.0,
                            faults=[Fault(0.1, "cut", 0.01, [0], [0])]))[0]
