Hand a kept result to the dispatcher that the client came back to

Cause: a client that came again elsewhere was refused until it happened to come to the dispatcher with its result. Change: an answer says whether the result is kept, and it is fetched in parts of 240 bytes, up to 3,840.

--- a/beaconhinge/net/keys.py
+++ b/beaconhinge/net/keys.py
@@ -8,7 +8,19 @@
 
 from ..config import Config
 from ..recovery import keys
-from ..recovery.keys import HERE, NOT_HERE, UNKNOWN, Inquiry, KeyBook, Question, Reply
+from ..recovery.keys import (
+    HERE,
+    KEPT,
+    NOT_HERE,
+    UNKNOWN,
+    Assembly,
+    Fetch,
+    Inquiry,
+    KeyBook,
+    Part,
+    Question,
+    Reply,
+)
 from ..request import Job, Known
 from ..stats import Stats
 from ..store import Change, Delete, Put, Store, StoreError
@@ -16,9 +28,12 @@
 from .peers import Peers
 
 ASKED, BETWEEN = 3, 0.04  # times that the silent ones are asked, and seconds from each to the next
+FETCHED = 6  # times that the missing parts of a result are asked for
 DISK_WITHIN = 1.0  # seconds after which a record that is not on the disk counts as not written
 SWEEP = 1.0  # seconds between looks for keys that are too old to matter
 OWNER, PREFIX = b"keys/owner", b"key/"
+# What others say of a repeat, as it is counted.
+ASKED_FOR = {NOT_HERE: "keys_free", HERE: "keys_elsewhere", KEPT: "keys_elsewhere", UNKNOWN: "keys_unknown"}
 
 
 class Keys:
@@ -33,7 +48,8 @@
         window = max((cls.dedup_window + cls.deadline for cls in classes), default=0.0)
         self.book = KeyBook(window, self._unsure_until(window), max_keys, max_bytes)
         self._inquiries: dict[int, tuple[Inquiry, asyncio.Event]] = {}
-        peers.talk = {keys.ASK: self._heard, keys.ANSWER: self._heard}
+        self._fetches: dict[int, tuple[int, Assembly, asyncio.Event]] = {}
+        peers.talk |= dict.fromkeys((keys.ASK, keys.ANSWER, keys.FETCH, keys.PART), self._heard)
         if store is not None:
             self._restore(store)
         wheel.after(SWEEP, self._sweep)
@@ -125,8 +141,13 @@
         try:
             verdict = NOT_HERE
             if ask:
-                verdict = UNKNOWN if now < self.book.unsure_until else await self._inquire(name)
-                self.stats.count({HERE: "keys_elsewhere", UNKNOWN: "keys_unknown"}.get(verdict, "keys_free"))
+                inquiry = await self._inquire(name)
+                verdict = inquiry.verdict
+                if verdict == NOT_HERE and now < self.book.unsure_until:
+                    verdict = UNKNOWN
+                self.stats.count(ASKED_FOR[verdict])
+                if verdict == KEPT:
+                    return Known(doubted=True, result=await self._fetch(inquiry.keeper, name))
             entered = verdict == NOT_HERE and await self._write(name, job)
         finally:  # it may be given up for want of time
             if not entered:
@@ -147,7 +168,7 @@
 
     # ---- the others ----------------------------------------------------------------------------------------
 
-    async def _inquire(self, name: int) -> int:
+    async def _inquire(self, name: int) -> Inquiry:
         own = self.config.settings.own_number
         inquiry = Inquiry(frozenset(n for n in range(self.config.settings.group_size) if n != own))
         settled, number = asyncio.Event(), random.getrandbits(32)
@@ -163,7 +184,26 @@
                         await settled.wait()
         finally:
             del self._inquiries[number]
-        return inquiry.verdict
+        return inquiry
+
+    async def _fetch(self, keeper: int, name: int) -> bytes | None:
+        """The result that another dispatcher keeps; None where it does not come: the client is refused."""
+        assembly, news, number = Assembly(), asyncio.Event(), random.getrandbits(32)
+        self._fetches[number] = keeper, assembly, news
+        try:
+            for _ in range(FETCHED):
+                news.clear()
+                for part in assembly.missing:
+                    self.peers.send(keeper, keys.encode(Fetch(number, name, part)))
+                with contextlib.suppress(TimeoutError):
+                    async with self.wheel.limit(BETWEEN):
+                        await news.wait()
+                if not assembly.missing:
+                    break
+        finally:
+            del self._fetches[number]
+        self.stats.count("keys_fetched", assembly.result is not None)
+        return assembly.result
 
     def _heard(self, number: int, payload: bytes) -> None:
         message = keys.decode(payload)
@@ -176,5 +216,17 @@
                 inquiry.hear(number, message.word)
                 if inquiry.settled:
                     settled.set()
+        elif isinstance(message, Fetch):
+            result = self.book.result(self.wheel.now(), message.name)
+            part = None if result is None else keys.part_of(result, message)
+            if part is not None:
+                self.peers.send(number, keys.encode(part))
+        elif isinstance(message, Part):
+            keeper, assembly, news = self._fetches.get(message.number, (None, None, None))
+            if keeper == number and assembly is not None and news is not None:
+                few = not assembly.parts  # the first part tells how many there are
+                assembly.hear(message)
+                if few or not assembly.missing:
+                    news.set()
         else:
             self.stats.complain("datagram_malformed", sender=number, bytes=len(payload))
--- a/beaconhinge/recovery/keys.py
+++ b/beaconhinge/recovery/keys.py
@@ -7,12 +7,17 @@
 
 import hashlib
 import struct
+import zlib
 from dataclasses import dataclass, field
+from typing import TypeAlias
 
-NOT_HERE, HERE, UNKNOWN = range(3)  # what a dispatcher says of a key
-ASK, ANSWER = 0x78, 0x79  # magic and version in one, beside those of `ospreyroute.peerwire`
+NOT_HERE, HERE, UNKNOWN, KEPT = range(4)  # what a dispatcher says of a key; KEPT: here, and its result too
+ASK, ANSWER, FETCH, PART = 0x78, 0x79, 0x7A, 0x7B  # magic and version in one, beside those of `peerwire`
+PART_BYTES, MOST_PARTS = 240, 16  # of a result that is handed to another dispatcher; larger ones stay
 _ASK = struct.Struct(">BIQ")
 _ANSWER = struct.Struct(">BIB")
+_FETCH = struct.Struct(">BIQB")
+_PART = struct.Struct(">BIBBI")
 _RECORD = struct.Struct(">d")  # when the job was taken; its request id follows
 
 
@@ -34,21 +39,64 @@
     word: int
 
 
-def encode(message: Question | Reply) -> bytes:
-    if isinstance(message, Question):
-        return _ASK.pack(ASK, message.number, message.name)
-    return _ANSWER.pack(ANSWER, message.number, message.word)
+@dataclass(frozen=True, slots=True)
+class Fetch:
+    """Asks who has said KEPT for one part of the result."""
+
+    number: int
+    name: int
+    part: int
+
+
+@dataclass(frozen=True, slots=True)
+class Part:
+    number: int
+    part: int
+    parts: int
+    check: int  # CRC-32 of the whole result, so that parts of two results are never put together
+    data: bytes
+
+
+Message: TypeAlias = Question | Reply | Fetch | Part
+
 
+def encode(message: Message) -> bytes:
+    match message:
+        case Question():
+            return _ASK.pack(ASK, message.number, message.name)
+        case Reply():
+            return _ANSWER.pack(ANSWER, message.number, message.word)
+        case Fetch():
+            return _FETCH.pack(FETCH, message.number, message.name, message.part)
+        case Part():
+            return _PART.pack(PART, message.number, message.part, message.parts, message.check) + message.data
 
-def decode(payload: bytes) -> Question | Reply | None:
+
+def decode(payload: bytes) -> Message | None:
     """None for whatever is foreign, truncated or of another version."""
-    if len(payload) == _ASK.size and payload[0] == ASK:
+    kind, size = payload[:1], len(payload)
+    if kind == bytes([ASK]) and size == _ASK.size:
         return Question(*_ASK.unpack(payload)[1:])
-    if len(payload) == _ANSWER.size and payload[0] == ANSWER and payload[-1] <= UNKNOWN:
+    if kind == bytes([ANSWER]) and size == _ANSWER.size and payload[-1] <= KEPT:
         return Reply(*_ANSWER.unpack(payload)[1:])
+    if kind == bytes([FETCH]) and size == _FETCH.size and payload[-1] < MOST_PARTS:
+        return Fetch(*_FETCH.unpack(payload)[1:])
+    if kind == bytes([PART]) and _PART.size <= size <= _PART.size + PART_BYTES:
+        _, number, part, parts, check = _PART.unpack_from(payload)
+        whole = part < parts <= MOST_PARTS
+        return Part(number, part, parts, check, payload[_PART.size:]) if whole else None
     return None
 
 
+def part_of(result: bytes, fetch: Fetch) -> Part | None:
+    """None for a part that there is not."""
+    parts = max(1, -(-len(result) // PART_BYTES))
+    if fetch.part >= parts or parts > MOST_PARTS:
+        return None
+    start = fetch.part * PART_BYTES
+    return Part(fetch.number, fetch.part, parts, zlib.crc32(result), result[start:start + PART_BYTES])
+
+
 def record(taken_at: float, request: str) -> bytes:
     return _RECORD.pack(taken_at) + request.encode()
 
@@ -121,7 +169,9 @@
     def asked(self, now: float, key: int) -> int:
         """Another is about to start it unless it is here: what to say, with the claim noted first."""
         self._claims[key] = now + self.window
-        return self.word(now, key)
+        result = self.result(now, key)
+        fits = result is not None and len(result) <= MOST_PARTS * PART_BYTES
+        return KEPT if fits else self.word(now, key)
 
     def claimed(self, now: float, key: int) -> bool:
         return self._claims.get(key, now) > now
@@ -206,6 +256,10 @@
             del self._names[held.request]
 
 
+# Which word of several counts.
+_WEIGHT = {NOT_HERE: 0, UNKNOWN: 1, HERE: 2, KEPT: 3}
+
+
 @dataclass(slots=True)
 class Inquiry:
     """A question to all others. Only the no of each of them is a no."""
@@ -216,8 +270,7 @@
     def hear(self, number: int, word: int) -> None:
         """A later word of one dispatcher does not take back that it had the key."""
         if number in self.others:
-            words = word, self.said.get(number, NOT_HERE)
-            self.said[number] = HERE if HERE in words else max(words)
+            self.said[number] = max(word, self.said.get(number, NOT_HERE), key=_WEIGHT.__getitem__)
 
     @property
     def silent(self) -> frozenset[int]:
@@ -225,10 +278,39 @@
 
     @property
     def settled(self) -> bool:
-        return HERE in self.said.values() or not self.silent
+        return self.verdict in (HERE, KEPT) or not self.silent
 
     @property
     def verdict(self) -> int:
-        if HERE in self.said.values():
-            return HERE
-        return UNKNOWN if self.silent or UNKNOWN in self.said.values() else NOT_HERE
+        heaviest = max(self.said.values(), key=_WEIGHT.__getitem__, default=NOT_HERE)
+        return UNKNOWN if heaviest == NOT_HERE and self.silent else heaviest
+
+    @property
+    def keeper(self) -> int:
+        """Who has said KEPT."""
+        return next(number for number, word in self.said.items() if word == KEPT)
+
+
+@dataclass(slots=True)
+class Assembly:
+    """A result on its way here, in parts that may be lost, come twice, or be of another result."""
+
+    parts: dict[int, Part] = field(default_factory=dict)
+
+    def hear(self, part: Part) -> None:
+        first = next(iter(self.parts.values()), part)
+        if (part.check, part.parts) == (first.check, first.parts):
+            self.parts[part.part] = part
+
+    @property
+    def missing(self) -> list[int]:
+        parts = next((part.parts for part in self.parts.values()), 1)
+        return [number for number in range(parts) if number not in self.parts]
+
+    @property
+    def result(self) -> bytes | None:
+        """None unless it is whole, and what its keeper has."""
+        if self.missing:
+            return None
+        result = b"".join(part.data for _, part in sorted(self.parts.items()))
+        return result if zlib.crc32(result) == self.parts[0].check else None
--- a/tests/recovery/test_keys.py
+++ b/tests/recovery/test_keys.py
@@ -12,7 +12,20 @@
 
 from beaconhinge.net.keys import Keys
 from beaconhinge.recovery import keys
-from beaconhinge.recovery.keys import HERE, NOT_HERE, UNKNOWN, Inquiry, KeyBook, Question, Reply
+from beaconhinge.recovery.keys import (
+    HERE,
+    KEPT,
+    NOT_HERE,
+    PART_BYTES,
+    UNKNOWN,
+    Assembly,
+    Fetch,
+    Inquiry,
+    KeyBook,
+    Part,
+    Question,
+    Reply,
+)
 from beaconhinge.request import Job
 from beaconhinge.stats import Stats
 from beaconhinge.store import Put
@@ -105,17 +118,19 @@
     assert made.word(100.0 + WINDOW, 99) == NOT_HERE
 
 
-@given(st.dictionaries(st.integers(0, 6), st.lists(st.sampled_from((NOT_HERE, HERE, UNKNOWN)), min_size=1, max_size=3)))
+@given(st.dictionaries(st.integers(0, 6), st.lists(st.sampled_from((NOT_HERE, HERE, UNKNOWN, KEPT)), min_size=1, max_size=3)))
 def test_only_the_no_of_every_other_is_a_no(said: dict[int, list[int]]) -> None:
     inquiry = Inquiry(frozenset(range(5)))
     for number, words in said.items():
         for word in words:
             inquiry.hear(number, word)
     of_others = [words for number, words in said.items() if number < 5]
+    kept = [number for number, words in said.items() if number < 5 and KEPT in words]
     here = any(HERE in words for words in of_others)
     no = len(of_others) == 5 and all(set(words) == {NOT_HERE} for words in of_others)
-    assert inquiry.verdict == (HERE if here else NOT_HERE if no else UNKNOWN)
-    assert inquiry.settled == (here or len(of_others) == 5)
+    assert inquiry.verdict == (KEPT if kept else HERE if here else NOT_HERE if no else UNKNOWN)
+    assert inquiry.settled == (bool(kept) or here or len(of_others) == 5)
+    assert not kept or inquiry.keeper in kept
 
 
 class Node:
@@ -216,12 +231,45 @@
     assert any(fleet_day(seed, False, mistake)[3] for seed in range(120))
 
 
+@given(st.binary(max_size=16 * PART_BYTES), st.randoms(use_true_random=False))
+def test_a_result_comes_whole_over_lost_repeated_and_mixed_up_parts_or_not_at_all(result: bytes, rng: random.Random) -> None:
+    assembly = Assembly()
+    for _ in range(200):
+        if not assembly.missing:
+            break
+        for number in assembly.missing:
+            part = keys.part_of(result, Fetch(7, 1, number))
+            other = keys.part_of(result[::-1] + b"!", Fetch(7, 1, number))
+            if part is not None and rng.random() < 0.6:
+                assembly.hear(part)
+                if other is not None:  # of a later run, after the first has come
+                    assembly.hear(other)
+    assert assembly.result == result
+    assert keys.part_of(result, Fetch(7, 1, 16)) is None and keys.part_of(bytes(17 * PART_BYTES), Fetch(7, 1, 0)) is None
+    forged = Assembly()
+    forged.hear(Part(7, 0, 1, 5, b"not that"))
+    assert forged.missing == [] and forged.result is None
+
+
+def test_who_has_a_small_result_says_so_and_a_large_one_stays() -> None:
+    made = book(room=10_000)
+    for key, size in ((1, 16 * PART_BYTES), (2, 16 * PART_BYTES + 1)):
+        made.take(100.0, key, f"r{key}")
+        made.leave(101.0, key, True, bytes(size))
+    assert [made.asked(102.0, key) for key in (1, 2, 3)] == [KEPT, HERE, NOT_HERE]
+
+
 def test_words_survive_the_wire_and_foreign_ones_are_none() -> None:
-    for message in (Question(2**32 - 1, 2**64 - 1), Reply(5, HERE), Reply(0, UNKNOWN)):
+    for message in (Question(2**32 - 1, 2**64 - 1), Reply(5, HERE), Reply(0, KEPT), Fetch(1, 2**64 - 1, 15)):
         wire = keys.encode(message)
-        assert keys.decode(wire) == message and len(wire) <= 13
+        assert keys.decode(wire) == message and len(wire) <= 14
         assert all(keys.decode(wire[:cut]) is None for cut in range(len(wire)))
         assert keys.decode(wire + b"x") is None and keys.decode(b"\x00" + wire[1:]) is None
+    part = Part(9, 15, 16, 2**32 - 1, bytes(PART_BYTES))
+    assert keys.decode(keys.encode(part)) == part and len(keys.encode(part)) <= 256
+    for bad in (Part(9, 16, 16, 0, b""), Part(9, 0, 0, 0, b""), Part(9, 0, 17, 0, b""), Part(9, 0, 1, 0, bytes(241))):
+        assert keys.decode(keys.encode(bad)) is None
+    assert keys.decode(keys.encode(Fetch(1, 2, 16))) is None and keys.decode(b"") is None
     assert keys.decode(keys.encode(Reply(5, HERE))[:-1] + b"\x09") is None
     assert keys.read_record(keys.record(12.5, "r-1")) == (12.5, "r-1")
     for bad in (b"", b"1234567", b"\xff" * 9, keys.record(float("nan"), "r")):
@@ -252,7 +300,7 @@
                                         "requestClasses.0.dedupWindow": "40", "requestClasses.0.hardLimit": "20",
                                         "clients.marksRetry": "true"})
         config = SimpleNamespace(name="n0", settings=settings, keyed=lambda cls: True)
-        wired = Keys(config, disk, 10, 10, SimpleNamespace(), Wheel(lambda: 100.0, stats.failure), stats)  # type: ignore[arg-type]
+        wired = Keys(config, disk, 10, 10, SimpleNamespace(talk={}), Wheel(lambda: 100.0, stats.failure), stats)  # type: ignore[arg-type]
         first, second = (Job(name, 0, 0, 9.0, 100.0, b"/", b"", dedup_key="k") for name in ("a", "b"))
         assert (await wired.enter(first)).entered
         wired.left(first, False, None)  # spawns the delete
