Leases, pure: votes, holders, and an explorer that finds thirteen deliberate mistakes

Need: at most one holder in true time, whatever is lost, late, stopped, killed or replaced; numbers that only grow.

--- /dev/null
+++ b/beaconhinge/leases/terms.py
@@ -0,0 +1,66 @@
+"""For how long a lease holds, and by whose votes. Pure."""
+
+from __future__ import annotations
+
+import hashlib
+import re
+from dataclasses import dataclass
+
+DRIFT = 0.01  # by which a clock may run fast or slow against true time; quartz stays within 0.0002
+MOST_LEASES = 10_000  # that a member keeps numbers of
+NAME = re.compile(r"[a-z][a-z0-9-]{0,39}(\.[0-9]{1,3})?")
+
+
+def key(name: str) -> int:
+    """Two leases with one key count as one: they exclude each other, and nothing worse."""
+    return int.from_bytes(hashlib.blake2b(name.encode(), digest_size=8).digest(), "big")
+
+
+@dataclass(frozen=True, slots=True)
+class Terms:
+    """The holder counts its span short from before it asked, a member counts it long from after it granted.
+    So as long as no clock is off by more than `drift`, a tenure is over before any vote for it is.
+    """
+
+    span: float  # seconds
+    before: float = 0.0  # the span before the present step, where that was longer
+    drift: float = DRIFT
+
+    @property
+    def held(self) -> float:
+        return self.span * (1 - self.drift)
+
+    @property
+    def granted(self) -> float:
+        return self.span * (1 + self.drift)
+
+    @property
+    def silence(self) -> float:
+        """After it no vote of a life, or a step, before this one can be in force."""
+        return max(self.span, self.before) * (1 + self.drift)
+
+
+@dataclass(frozen=True, slots=True)
+class Council:
+    """Whose votes count, under a number that each change raises by one."""
+
+    number: int
+    members: frozenset[int]
+    before: frozenset[int] = frozenset()  # the members of the step before, where there was one
+
+    @property
+    def majority(self) -> int:
+        return len(self.members) // 2 + 1
+
+    def moved(self, numbers: dict[int, int]) -> bool:
+        """Whether the step before is over: a majority of its members, by the numbers heard, has left it."""
+        left = sum(numbers.get(member, 0) >= self.number for member in self.before)
+        return not self.before or left >= len(self.before) // 2 + 1
+
+    def problem(self) -> str | None:
+        """Why two majorities could exist, or none."""
+        if not self.members:
+            return "members: at least one is needed"
+        if self.before and len(self.members ^ self.before) > 1:
+            return "members: more than one differs from members_before; go there one at a time"
+        return None
--- /dev/null
+++ b/tests/leases/conftest.py
@@ -0,0 +1,6 @@
+"""Tests here import the explorer beside them."""
+
+import sys
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).parent))
--- /dev/null
+++ b/tests/leases/defects.py
@@ -0,0 +1,198 @@
+"""Deliberate mistakes in the state machines of leases, each of which the explorer has to find."""
+
+from __future__ import annotations
+
+import contextlib
+import random
+from collections.abc import Callable, Iterator
+from dataclasses import replace
+from typing import Any
+from unittest.mock import patch
+
+from explore import Move, World, shortest, walk, world_of
+
+from beaconhinge.leases.holder import Holder, Tenure
+from beaconhinge.leases.node import Node
+from beaconhinge.leases.terms import Council
+from beaconhinge.leases.votes import Member, Say, Vote, Write
+from beaconhinge.leases.wire import ASK, GRANT, RELEASE, RENEW, Message
+
+
+def _span_from_the_answer(real: Callable[..., Any]) -> Callable[..., Any]:
+    def granted(self: Holder, now: float, asked: Any) -> Any:
+        asked.asked_at = now
+        return real(self, now, asked)
+
+    return granted
+
+
+def _old_answer_for_new(real: Callable[..., Any]) -> Callable[..., Any]:
+    def hear(self: Holder, now: float, sender: int, message: Message) -> Any:
+        if self.round is not None and message.kind == GRANT:
+            message = replace(message, round=self.round.id, number=self.round.number)
+        return real(self, now, sender, message)
+
+    return hear
+
+
+def _ended_tenure_renewed(real: Callable[..., Any]) -> Callable[..., Any]:
+    def asked(self: Member, now: float, sender: int, message: Message) -> Any:
+        vote = self.votes.get(message.lease)
+        if message.kind == RENEW and (vote is None or now >= vote.until):
+            self.votes[message.lease] = Vote(sender, message.number, now + self.terms.granted, message.round)
+            return [Say(sender, self._say(GRANT, message, message.number))]
+        return real(self, now, sender, message)
+
+    return asked
+
+
+def _ended_tenure_kept(real: Callable[..., Any]) -> Callable[..., Any]:
+    def stand_down(self: Holder, now: float) -> Any:
+        asked = self.round
+        done = real(self, now)
+        self.round = asked
+        return done
+
+    return stand_down
+
+
+def _same_name_same_tenure(real: Callable[..., Any]) -> Callable[..., Any]:
+    def asked(self: Member, now: float, sender: int, message: Message) -> Any:
+        vote = self.votes.get(message.lease)
+        if message.kind == ASK and vote is not None and vote.holder == sender and vote.round != message.round:
+            del self.votes[message.lease]
+        return real(self, now, sender, message)
+
+    return asked
+
+
+def _release_by_number(real: Callable[..., Any]) -> Callable[..., Any]:
+    def hear(self: Member, now: float, sender: int, message: Message) -> Any:
+        vote = self.votes.get(message.lease)
+        if message.kind == RELEASE and vote is not None and vote.holder == sender:
+            message = replace(message, round=vote.round)
+        return real(self, now, sender, message)
+
+    return hear
+
+
+def _old_process_renews(real: Callable[..., Any]) -> Callable[..., Any]:
+    def hand_over(self: Node, now: float, busy: frozenset[int]) -> Any:
+        holders = dict(self.holders)
+        tenures = {lease: held.tenure for lease, held in holders.items()}
+        done = real(self, now, frozenset(holders))
+        self.out, self.holders = False, holders
+        for lease, tenure in tenures.items():
+            holders[lease].tenure = tenure
+        return [], done[1]
+
+    return hand_over
+
+
+class NoSilence(World):
+    def _start(self, process: Any, floor: int) -> None:
+        super()._start(process, floor)
+        process.node.member.silent_until = -1000.0
+
+
+class GrantedBeforeWritten(World):
+    """One member is cut from power again and again, another contender hears only of it, and comes only then.
+    """
+
+    weights = {"write": 0.5, "crash": 1.0, "give": 2.0, "upgrade": 0.05}
+
+    def moves(self) -> list[Move]:
+        lost = self.tally["crash"] > 0
+        return [move for move in super().moves() if (move[0] != "crash" or move[1:] == (2, True))
+                and (move[0] != "want" or lost or move[1] == 0) and move[:3] != ("deliver", 0, 1)]
+
+    def _perform(self, process: Any, actions: list[Any]) -> None:
+        for action in actions:
+            super()._perform(process, [action])
+            if isinstance(action, Write) and process.node is not None:
+                super()._perform(process, process.node.written(self.clock(process), action, True))
+
+
+class WallTime(World):
+    weights = {"wall": 0.3}
+
+    def clock(self, process: Any) -> float:
+        return float(super().clock(process) + process.wall)
+
+    def moves(self) -> list[Move]:
+        steps = [("wall", p.number, by) for p in self.processes for by in (-3.0, 3.0) if not p.wall]
+        return [*super().moves(), *steps]
+
+    def _wall(self, process: Any, by: float) -> bool:
+        process.wall += by
+        return True
+
+
+class Hurried(World):
+    weights = {"act": 8.0, "check": 0.1, "give": 0.1, "tick": 3.0, "turn": 2.0}
+
+    def __init__(self, **settings: Any) -> None:
+        super().__init__(**settings)
+        self.left.acts = 60
+
+
+class SomeLag(World):
+    """Two of five stay behind, and are a majority of the three that there were."""
+
+    weights = {"step": 4.0, "upgrade": 0.1}
+
+    def moves(self) -> list[Move]:
+        return [move for move in super().moves() if move[0] != "step" or move[1] > 1]
+
+
+class NumbersAnew(World):
+    def floor(self) -> int:
+        return 0
+
+
+DEFECTS: dict[str, tuple[str, type[World], list[tuple[type, str, Callable[..., Any]]]]] = {
+    "the span counted from the answer": ("3 members, slow holder", World, [(Holder, "_granted", _span_from_the_answer)]),
+    "no silence after a start": ("3 members, 2 leases", NoSilence, []),
+    "a renewal that revives an ended tenure": ("3 members, slow holder", World, [
+        (Member, "_asked", _ended_tenure_renewed), (Holder, "_stand_down", _ended_tenure_kept)]),
+    "a number granted before it is durable": ("3 members with a disk", GrantedBeforeWritten, []),
+    "wall time": ("3 members, 2 leases", WallTime, []),
+    "an old answer taken for a new one": ("3 members, 2 leases", World, [(Holder, "hear", _old_answer_for_new)]),
+    "majorities that do not overlap": ("3 members, 2 leases", World, [
+        (Council, "majority", lambda real: property(lambda self: len(self.members) // 2))]),
+    "a number that starts anew": ("3 members, 2 leases", NumbersAnew, []),
+    "an act without its time left": ("3 members, slow holder", Hurried, [
+        (Tenure, "guard", lambda real: lambda self, now, longest, drift: now < self.end)]),
+    "the old process of an upgrade that goes on": ("3 members, 2 leases", World, [
+        (Node, "hand_over", _old_process_renews)]),
+    "a step while the one before is in force": ("3 to 5 members", SomeLag, [
+        (Council, "moved", lambda real: lambda self, numbers: True)]),
+    "the same name taken for the same tenure": ("3 members, 2 leases", World, [
+        (Member, "_asked", _same_name_same_tenure)]),
+    "a release by name, come late": ("3 members, 2 leases", World, [(Member, "hear", _release_by_number)]),
+}
+
+
+@contextlib.contextmanager
+def with_defect(name: str) -> Iterator[Callable[[], World]]:
+    setting, kind, patches = DEFECTS[name]
+    with contextlib.ExitStack() as stack:
+        for owner, attribute, made in patches:
+            stack.enter_context(patch.object(owner, attribute, made(getattr(owner, attribute))))
+        yield lambda: world_of(setting, kind)
+
+
+def find(name: str, walks: int, seed: int = 1, shorten: bool = False) -> tuple[int, str, list[Move]]:
+    """The walk that finds it, what broke, and a trace of it; -1 if none does."""
+    with with_defect(name) as make:
+        for number in range(walks):
+            trace, broken = walk(make(), random.Random(f"{seed}/{name}/{number}"), 160)
+            if broken:
+                return number, broken, shortest(make, trace, broken) if shorten else trace
+    return -1, "", []
+
+
+if __name__ == "__main__":
+    for name in DEFECTS:
+        number, broken, trace = find(name, 5000, shorten=True)
+        print(f"{name}: walk {number}, {broken}, {len(trace)} moves", *trace, sep="\n  ")
--- /dev/null
+++ b/tests/leases/explore.py
@@ -0,0 +1,452 @@
+"""Plays the very state machines of leases through orders of messages, losses, repeats, crashes, stops and clocks.
+
+    python tests/leases/explore.py [--states 1000000] [--walks 20000] [--seed 1] [--defect NAME]
+
+True time goes in ticks that no process sees; each has a clock of its own rate and offset. A stop is a process that
+takes no turn. What must hold is looked at after each move, by the world and not by the processes.
+"""
+
+from __future__ import annotations
+
+import argparse
+import pickle
+import random
+import sys
+from collections import Counter, deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any, ClassVar
+
+from beaconhinge.leases import holder
+from beaconhinge.leases import node as node_
+from beaconhinge.leases.holder import Held
+from beaconhinge.leases.node import Node
+from beaconhinge.leases.terms import Council, Terms
+from beaconhinge.leases.votes import Say, Write
+from beaconhinge.leases.wire import GRANT, Message
+
+SPAN, DRIFT = 4.0, 0.25  # ticks of true time, and a bound that a fast and a slow clock make the most of
+SLOW, FAST = 1 - DRIFT, 1 + DRIFT
+ACT = 2.0  # ticks that an act takes
+holder.ROUND = 1.0  # a question stays open for the whole span: here answers may come as late as they like
+IN_FLIGHT = 10  # messages on their way; more push out the oldest, which is a loss
+Move = tuple[Any, ...]
+
+
+class Broken(Exception):
+    """What must hold does not."""
+
+
+class Count:
+    """Stands for random numbers: each is another, so that no two rounds of a process are mistaken."""
+
+    def __init__(self) -> None:
+        self.drawn = 0
+
+    def __call__(self) -> float:
+        self.drawn += 1
+        return self.drawn / 4096 % 1.0
+
+
+@dataclass
+class Process:
+    number: int
+    rate: float
+    offset: float
+    node: Node | None = None
+    disk: dict[int, int] = field(default_factory=dict)
+    writes: list[Write] = field(default_factory=list)
+    checked: list[tuple[int, int]] = field(default_factory=list)  # a look at the clock, and no act yet
+    random: Count = field(default_factory=Count)
+    wall: float = 0.0  # by which its wall clock has stepped
+
+
+@dataclass
+class Bounds:
+    """How far the exploration goes."""
+
+    ticks: int = 12
+    wants: int = 4
+    crashes: int = 1
+    upgrades: int = 1
+    acts: int = 6
+    steps: int = 0
+    gives: int = 1
+
+
+class World:
+    """`councils`: the first is in force, the rest are steps to come."""
+
+    node_type: type[Node] = Node
+    weights: ClassVar[dict[str, float]] = {}  # of moves, where they are not the usual ones
+
+    def __init__(self, rates: tuple[float, ...], leases: int = 1, durable: bool = False, bounds: Bounds | None = None,
+                 councils: tuple[Council, ...] = (), contenders: int = 2, copies: int = 2) -> None:
+        self.left = bounds or Bounds()
+        self.copies = copies  # how often a message may come
+        self.durable = durable
+        self.leases = range(1, leases + 1)
+        self.contenders = contenders
+        self.councils = councils or (Council(1, frozenset(range(len(rates)))),)
+        self.at = [0] * len(rates)  # which council each process has
+        self.t = 0
+        self.flying: list[tuple[int, int, Message, int]] = []
+        self.granted: dict[tuple[int, int], set[int]] = {}  # who really granted a number
+        self.numbers: dict[int, int] = {}  # the highest tenure yet, by lease
+        self.fenced: dict[int, int] = {}  # the highest number that the resource has accepted
+        self.plain: dict[int, tuple[float, int]] = {}  # the last act at a resource that checks nothing: its end
+        self.tally: Counter[str] = Counter()
+        self.gone: list[tuple[Process, Node]] = []  # processes that others have taken over
+        self.processes = [Process(n, rate, 100.0 * n) for n, rate in enumerate(rates)]
+        for process in self.processes:
+            self._start(process, 0)
+            assert process.node is not None
+            process.node.member.silent_until = -1000.0  # the world begins long after the first start
+
+    def clock(self, process: Process) -> float:
+        return process.offset + self.t * process.rate
+
+    def floor(self) -> int:
+        """Above every number so far: what wall time, in milliseconds, is to numbers that grow one by one."""
+        return 1000 * (self.t + 1) + max(self.numbers.values(), default=0)
+
+    def _start(self, process: Process, floor: int) -> None:
+        council, terms = self.councils[self.at[process.number]], Terms(SPAN, drift=DRIFT)
+        made = node_.new(process.number, council, terms, self.clock(process), process.random, floor, self.durable,
+                         process.disk)
+        process.node = self.node_type(made.member, made.random)
+
+    # ---- moves ---------------------------------------------------------------------------------------------
+
+    def moves(self) -> list[Move]:
+        left, found = self.left, list[Move]()
+        if left.ticks:
+            found.append(("tick",))
+        found += [("deliver", *flight[:3]) for flight in self.flying]
+        for process in self.processes:
+            n, node = process.number, process.node
+            if node is None:
+                found.append(("start", n))
+                continue
+            if node.next_at <= self.clock(process):
+                found.append(("turn", n))
+            found += [("write", n, write.lease, write.number) for write in process.writes]
+            if left.crashes:
+                found += [("crash", n, True), ("crash", n, False)]
+            if left.upgrades:
+                found.append(("upgrade", n))
+            if left.steps and self.at[n] + 1 < len(self.councils):
+                found.append(("step", n))
+            for lease in self.leases if n < self.contenders else ():
+                held = node.holders.get(lease)
+                if left.wants and (held is None or not held.wanted):
+                    found.append(("want", n, lease))
+                if held is not None and held.tenure is not None and left.gives:
+                    found.append(("give", n, lease))
+                if held is not None and held.tenure is not None and left.acts:
+                    found += [("act", n, lease), ("check", n, lease)]
+            found += [("begin", n, *looked) for looked in process.checked]
+        return found
+
+    def do(self, move: Move) -> bool:
+        """False where it cannot be made. Raises Broken."""
+        kind = move[0]
+        process = self.processes[move[1]] if len(move) > 1 and kind != "deliver" else None
+        if kind == "tick":
+            self.t += 1
+            self.left.ticks -= 1
+        elif kind == "deliver":
+            if not self._deliver(*move[1:]):
+                return False
+        elif process is None or kind != "start" and process.node is None:
+            return False
+        elif not getattr(self, "_" + kind)(process, *move[2:]):
+            return False
+        self.tally[kind] += 1
+        self._look()
+        return True
+
+    def _perform(self, process: Process, actions: list[Any]) -> None:
+        for action in actions:
+            if isinstance(action, Say):
+                if action.message.kind == GRANT:
+                    self.granted.setdefault((action.message.lease, action.message.number), set()).add(process.number)
+                self.flying.append((process.number, action.to, action.message, self.copies))
+            elif isinstance(action, Write):
+                process.writes.append(action)
+            elif isinstance(action, Held):
+                self._held(process, action)
+        del self.flying[:-IN_FLIGHT]
+
+    def _held(self, process: Process, held: Held) -> None:
+        self.tally["tenures"] += 1
+        assert process.node is not None
+        vote = process.node.member.votes.get(held.lease)
+        votes = self.granted.get((held.lease, held.number), set())
+        if vote is not None and (vote.holder, vote.number) == (process.number, held.number):
+            votes = votes | {process.number}  # its own, which no message carries
+        council = process.node.member.council
+        if len(votes & council.members) <= len(council.members) / 2:
+            raise Broken("a minority granted")
+        if held.number <= self.numbers.get(held.lease, 0):
+            raise Broken("a number did not grow")
+        self.numbers[held.lease] = held.number
+
+    def _deliver(self, source: int, to: int, message: Message) -> bool:
+        for index, (src, dst, flying, copies) in enumerate(self.flying):
+            if (src, dst, flying) == (source, to, message):
+                self.flying[index:index + 1] = [(src, dst, flying, copies - 1)] if copies > 1 else []
+                process = self.processes[to]
+                if process.node is not None:
+                    self._perform(process, process.node.hear(self.clock(process), source, message))
+                for old, node in self.gone:  # the kernel may still bring it what is for the new one
+                    if old.number == to:
+                        self._perform(old, node.hear(self.clock(old), source, message))
+                return True
+        return False
+
+    def _want(self, process: Process, lease: int) -> bool:
+        self.left.wants -= 1
+        self._perform(process, process.node.want(self.clock(process), lease))  # type: ignore[union-attr]
+        return True
+
+    def _busy(self, node: Node, lease: int) -> bool:
+        """Whether an act of its tenure is under way."""
+        tenure = node.holders[lease].tenure if lease in node.holders else None
+        end, number = self.plain.get(lease, (0.0, 0))
+        return tenure is not None and number == tenure.number and self.t < end
+
+    def _give(self, process: Process, lease: int) -> bool:
+        assert process.node is not None
+        if self._busy(process.node, lease):
+            return False
+        self.left.gives -= 1
+        self._perform(process, process.node.give_up(self.clock(process), lease))  # type: ignore[union-attr]
+        return True
+
+    def _turn(self, process: Process) -> bool:
+        self._perform(process, process.node.turn(self.clock(process)))  # type: ignore[union-attr]
+        for old, node in self.gone:
+            self._perform(old, node.turn(self.clock(old)))
+        return True
+
+    def _write(self, process: Process, lease: int, number: int) -> bool:
+        for write in process.writes:
+            if (write.lease, write.number) == (lease, number):
+                process.writes.remove(write)
+                process.disk[lease] = max(number, process.disk.get(lease, 0))
+                self._perform(process, process.node.written(self.clock(process), write, True))  # type: ignore[union-attr]
+                return True
+        return False
+
+    def _crash(self, process: Process, keeps: bool) -> bool:
+        self.left.crashes -= 1
+        process.node, process.writes, process.checked = None, [], []
+        self.gone = [(old, node) for old, node in self.gone if old.number != process.number]
+        if not keeps:
+            process.disk = {}
+        return True
+
+    def _start_again(self, process: Process) -> None:
+        self._start(process, self.floor() if not process.disk else 0)
+
+    def _upgrade(self, process: Process) -> bool:
+        self.left.upgrades -= 1
+        old, now = process.node, self.clock(process)
+        assert old is not None
+        lost, state = old.hand_over(now, frozenset(lease for lease in self.leases if self._busy(old, lease)))
+        self._perform(process, lost)
+        self.gone.append((process, old))
+        process.writes = []
+        self._start(process, 0)
+        assert process.node is not None
+        process.node.take_over(now, 0.0, state)
+        return True
+
+    def _step(self, process: Process) -> bool:
+        self.left.steps -= 1
+        self.at[process.number] += 1
+        council = self.councils[self.at[process.number]]
+        terms = Terms(SPAN, drift=DRIFT)
+        self._perform(process, process.node.adopt(self.clock(process), council, terms))  # type: ignore[union-attr]
+        return True
+
+    def _guard(self, process: Process, lease: int) -> int:
+        """The number under which an act may begin, or 0. A process looks at its clock before all else."""
+        now, node = self.clock(process), process.node
+        assert node is not None
+        self._perform(process, node.turn(now))
+        tenure = node.holders[lease].tenure if lease in node.holders else None
+        return tenure.number if tenure is not None and tenure.guard(now, ACT, DRIFT) else 0
+
+    def _check(self, process: Process, lease: int) -> bool:
+        number = self._guard(process, lease)
+        if number:
+            self.left.acts -= 1
+            process.checked.append((lease, number))
+        return bool(number)
+
+    def _begin(self, process: Process, lease: int, number: int) -> bool:
+        """Long after the look at the clock perhaps: the resource sees to it by the number."""
+        if (lease, number) not in process.checked:
+            return False
+        process.checked.remove((lease, number))
+        if number < self.fenced.get(lease, 0):
+            self.tally["stale numbers refused"] += 1
+            return True
+        self.fenced[lease] = number
+        return True
+
+    def _act(self, process: Process, lease: int) -> bool:
+        """At a resource that checks nothing, without a stop between look and act."""
+        number = self._guard(process, lease)
+        if not number:
+            return False
+        self.left.acts -= 1
+        end, before = self.plain.get(lease, (0.0, number))
+        if self.t < end and before != number:
+            raise Broken("acts of two tenures overlap")
+        self.plain[lease] = self.t + ACT, number
+        return True
+
+    def _look(self) -> None:
+        """No two hold one lease in true time, whether they run or are stopped."""
+        nodes = [(p, p.node) for p in self.processes if p.node is not None] + self.gone
+        for lease in self.leases:
+            holding = [p.number for p, node in nodes if (held := node.holders.get(lease)) is not None
+                       and held.tenure is not None and self.clock(p) < held.tenure.end]
+            if len(holding) > 1:
+                raise Broken("two hold one lease")
+
+    _start_move = None
+
+    def key(self) -> bytes:
+        return pickle.dumps((self.t, self.at, sorted(self.flying, key=repr), self.left, self.numbers, self.fenced,
+                             self.plain, [(p.node, sorted(p.disk.items()), p.writes, p.checked) for p in self.processes],
+                             [node for _, node in self.gone]), -1)
+
+
+def _start_move(self: World, process: Process) -> bool:
+    if process.node is not None:
+        return False
+    self._start_again(process)
+    return True
+
+
+# `start` is a move and the way to make a node; the move comes by this name.
+MOVES: dict[str, Callable[..., bool]] = {"start": _start_move}
+
+
+def made(world: World, move: Move) -> bool:
+    if move[0] == "start":
+        done = _start_move(world, world.processes[move[1]])
+        world.tally["start"] += done
+        world._look()
+        return done
+    return world.do(move)
+
+
+WEIGHTS = {"deliver": 6.0, "tick": 2.0, "turn": 3.0, "write": 4.0, "start": 2.0, "want": 2.0, "act": 2.0, "check": 0.7,
+           "begin": 0.7, "crash": 0.25, "upgrade": 0.4, "step": 0.5, "give": 0.3}
+
+
+def walk(world: World, rng: random.Random, length: int) -> tuple[list[Move], str]:
+    """One day of chance; the moves, and what broke."""
+    trace: list[Move] = []
+    for _ in range(length):
+        moves = world.moves()
+        if not moves:
+            break
+        weights = {**WEIGHTS, **world.weights}
+        move = rng.choices(moves, [weights[m[0]] for m in moves])[0]
+        trace.append(move)
+        try:
+            made(world, move)
+        except Broken as broken:
+            return trace, str(broken)
+    return trace, ""
+
+
+def shortest(make: Callable[[], World], trace: list[Move], broken: str) -> list[Move]:
+    """Leave out what is not needed for the same fault."""
+    def breaks(moves: list[Move]) -> bool:
+        world = make()
+        try:
+            for move in moves:
+                made(world, move)
+        except Broken as found:
+            return str(found) == broken
+        return False
+
+    size = len(trace) // 2
+    while size:
+        index = 0
+        while index < len(trace):
+            fewer = trace[:index] + trace[index + size:]
+            if breaks(fewer):
+                trace = fewer
+            else:
+                index += size
+        size //= 2
+    return trace
+
+
+def exhaust(make: Callable[[], World], most: int) -> tuple[int, int, Counter[str]]:
+    """All orders, those with the fewest moves first, up to so many states: states, moves deep, what happened."""
+    first = make()
+    seen, queue, deep, tally = {hash(first.key())}, deque([(pickle.dumps(first, -1), 0)]), 0, Counter[str]()
+    while queue and len(seen) < most:
+        form, deep = queue.popleft()
+        for move in pickle.loads(form).moves():
+            world = pickle.loads(form)
+            made(world, move)
+            key = hash(world.key())
+            if key not in seen:
+                seen.add(key)
+                queue.append((pickle.dumps(world, -1), deep + 1))
+                tally[move[0]] += 1
+                tally["tenures"] = max(tally["tenures"], world.tally["tenures"])
+    return len(seen), deep, tally
+
+
+THREE = (SLOW, FAST, FAST)
+GROWING = (Council(1, frozenset({0, 1, 2})), Council(2, frozenset({0, 1, 2, 3}), frozenset({0, 1, 2})),
+           Council(3, frozenset({0, 1, 2, 3, 4}), frozenset({0, 1, 2, 3})))
+SETTINGS: dict[str, Callable[[], dict[str, Any]]] = {
+    "3 members, 2 leases": lambda: {"rates": THREE, "leases": 2, "bounds": Bounds(ticks=16, wants=8, crashes=2)},
+    "3 members, slow holder": lambda: {"rates": THREE, "bounds": Bounds(ticks=16, wants=8, crashes=0, upgrades=0)},
+    "3 members, fast holder": lambda: {"rates": (FAST, SLOW, SLOW), "bounds": Bounds(ticks=16, wants=6, crashes=2)},
+    "3 members with a disk": lambda: {"rates": THREE, "durable": True, "bounds": Bounds(ticks=20, wants=8, crashes=3, gives=4)},
+    "5 members, 1 lease": lambda: {"rates": (SLOW, FAST, SLOW, FAST, FAST), "contenders": 3,
+                                   "bounds": Bounds(ticks=16, wants=6, crashes=2)},
+    "3 to 5 members": lambda: {"rates": (SLOW, FAST, SLOW, FAST, FAST), "councils": GROWING, "contenders": 5,
+                               "bounds": Bounds(ticks=22, wants=6, crashes=1, steps=10)},
+}
+
+
+def world_of(name: str, kind: type[World] = World) -> World:
+    return kind(**SETTINGS[name]())
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--states", type=int, default=100_000)
+    parser.add_argument("--walks", type=int, default=2000)
+    parser.add_argument("--seed", type=int, default=1)
+    options = parser.parse_args()
+    for name in SETTINGS:
+        states, deep, tally = exhaust(lambda name=name: world_of(name), options.states)  # type: ignore[misc]
+        print(f"{name}: {states} states, all orders of {deep} moves, {tally['tenures']} tenures in one")
+        total: Counter[str] = Counter()
+        for number in range(options.walks):
+            world = world_of(name)
+            trace, broken = walk(world, random.Random(f"{options.seed}/{name}/{number}"), 160)
+            total += world.tally
+            if broken:
+                print(f"walk {number}: {broken}", *shortest(lambda name=name: world_of(name), trace, broken), sep="\n  ")  # type: ignore[misc]
+                sys.exit(3)
+        print(f"{name}: {options.walks} walks, {dict(sorted(total.items()))}")
+
+
+if __name__ == "__main__":
+    main()
