Wire leases: datagrams, timers, numbers on the disk, calls made by one for all, operators' commands

Need: the pure machines in the program, and several processes of it that act on one resource while links drop, halves of the datagrams are lost, processes are stopped for a third of a span to twice of it, killed, ended, all killed at once. Change: net/leases.py, net/lease_calls.py, [leases] in the TOML, lease calls at mgmt, beaconhinge leases; the resource is a process of its own with its own clock, which writes down each act; faults can be drawn from the seed.

--- a/beaconhinge/__main__.py
+++ b/beaconhinge/__main__.py
@@ -36,8 +36,11 @@
     from .config.ours import Ours
 
 
-async def serve(reader: Callable[[], Config], ours: Ours | None = None, shared: Path | None = None) -> None:
-    """`shared`: the folder in which a process leaves word for the one that will replace it."""
+async def serve(reader: Callable[[], Config], ours: Ours | None = None, shared: Path | None = None,
+                reread: Callable[[], Ours] | None = None) -> None:
+    """`shared`: the folder in which a process leaves word for the one that will replace it. `reread` gives
+    our own configuration as it is now.
+    """
     config = reader()
     loop = asyncio.get_running_loop()
     clock = Clock()
@@ -67,6 +70,8 @@
         """Read the whole configuration again; nothing of a faulty one counts. Requests in work go on."""
         try:
             new = reader()
+            if leases is not None and reread is not None and (why := leases.reload(reread().leases)):
+                raise ConfigError(why)
         except ConfigError as error:
             stats.complain("reload_refused", why=error)
             return
@@ -76,6 +81,7 @@
         stats.log("reloaded", discovery=f"{new.discovery[0]}:{new.discovery[1]}",
                   wait_for_restart=",".join(config.kept_until_restart(new)) or "none")
 
+    leases = None
     stopping = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
@@ -93,6 +99,11 @@
 
         returning = recover(ours.recovery, config, keeper.store if keeper else None, core, wheel, requests,
                             workers, discovery, peers, frontend, operators, upgrade, stats)
+    if ours and ours.leases.enabled:
+        from .net.lease_calls import lease
+
+        leases = lease(ours.leases, config, keeper.store if keeper else None, operators, upgrade, peers,
+                       wheel, stats, inherited)
     discovery.remembered()
     frontend.listen()
     if returning is not None:
@@ -108,6 +119,8 @@
 
     await stopping.wait()
     stats.log("stopping", owed=frontend.owing)
+    if leases is not None:
+        leases.leave()
     peers.leave()
     await frontend.finish()
     if keeper is not None:
@@ -148,16 +161,19 @@
     # libuv's io_uring starts a kernel thread that polls. It took nine tenths of the CPU within half a core,
     # and the work here ran late. libuv reads this when the loop is made.
     os.environ["UV_USE_IO_URING"] = "0"
-    ours = None
+    ours: Ours | None = None
+    reread: Callable[[], Ours] | None = None
     try:
         if environment.get("BEACONHINGE_CONFIG"):
             from .config.ours import read
 
-            ours = read(environment["BEACONHINGE_CONFIG"])
+            path = environment["BEACONHINGE_CONFIG"]
+            reread = lambda: read(path)  # noqa: E731
+            ours = reread()
             if ours.platform.config:
                 environment = {**environment, "RELAY_CONFIG": ours.platform.config}
         shared = Path(environment["TMPDIR"]) if environment.get("TMPDIR") else None
-        uvloop.run(serve(lambda: load(environment), ours, shared))
+        uvloop.run(serve(lambda: load(environment), ours, shared, reread))
     except ConfigError as error:
         print(f"beaconhinge: {error}", file=sys.stderr)
         return 2
--- a/beaconhinge/cli/app.py
+++ b/beaconhinge/cli/app.py
@@ -8,7 +8,7 @@
 
 import typer
 
-from . import config, demo, logs, rehearse, store
+from . import config, demo, leases, logs, rehearse, store
 
 # Typer carries its own copy of click in some versions, so that the class is found where typer has it.
 UsageError: Any = next(kind for kind in typer.BadParameter.__mro__ if kind.__name__ == "UsageError")
@@ -16,6 +16,7 @@
 app = typer.Typer(no_args_is_help=True, pretty_exceptions_enable=False, rich_markup_mode=None,
                   help="A dispatcher that takes jobs from clients and pushes them to workers.")
 app.add_typer(config.app, name="config")
+app.add_typer(leases.app, name="leases")
 app.add_typer(logs.app, name="logs")
 app.add_typer(store.app, name="store")
 app.command("demo")(demo.demo)
--- a/beaconhinge/config/ours.py
+++ b/beaconhinge/config/ours.py
@@ -14,8 +14,9 @@
 
 import msgspec
 
+from ..leases.terms import NAME, Council
 from ..store.options import Options
-from .platform import ConfigError
+from .platform import ConfigError, address
 
 
 class Platform(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -89,6 +90,55 @@
         return None
 
 
+class LeaseCall(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A call that one dispatcher makes for all, under the lease of that name."""
+
+    name: str
+    to: str
+    path: str = "/"
+    every_s: float = 3600.0
+    longest_s: float = 0.5
+
+
+class Leases(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Tasks for exactly one dispatcher, or a few: docs/operate/leases.md."""
+
+    enabled: bool = False
+    number: int = 1
+    members: list[int] = []
+    members_before: list[int] = []
+    span_s: float = 2.0
+    span_before_s: float = 0.0
+    calls: list[LeaseCall] = []
+
+    def problem(self) -> tuple[str, str] | None:
+        if not 0 < self.number < 65536:
+            return "number", "must be between 1 and 65535"
+        if not 0.5 <= self.span_s <= 60 or not 0 <= self.span_before_s <= 60:
+            return "span_s", "must be between 0.5 and 60 seconds, span_before_s 60 at most"
+        for key in ("members", "members_before"):
+            told = getattr(self, key)
+            if len(set(told)) < len(told) or any(not 0 <= number < 65536 for number in told):
+                return key, "must be numbers of dispatchers, each once"
+        if self.members_before:
+            why = Council(self.number, frozenset(self.members), frozenset(self.members_before)).problem()
+            if why is not None:
+                return "members_before", why
+        for call in self.calls:
+            if not NAME.fullmatch(call.name):
+                return "calls", f"{call.name[:50]!r} is no name: letters, digits and dashes, 40 at most"
+            if not (0.05 <= call.every_s < float("inf") and 0 < call.longest_s <= self.span_s / 2):
+                return "calls", f"{call.name}: every_s from 0.05, longest_s up to half of span_s"
+            if not call.path.startswith("/") or not call.path.isascii() or not call.path.isprintable() \
+                    or " " in call.path:
+                return "calls", f"{call.name}: path must begin with / and hold no blanks"
+            try:
+                address(call.to, call.name)
+            except ConfigError as error:
+                return "calls", str(error)
+        return None
+
+
 class Ours(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     platform: Platform = Platform()
     log: Log = Log()
@@ -96,6 +146,7 @@
     books: Books = Books()
     progress: Progress = Progress()
     recovery: Recovery = Recovery()
+    leases: Leases = Leases()
 
 
 def read(path: str | os.PathLike[str]) -> Ours:
@@ -122,7 +173,7 @@
     except msgspec.ValidationError as error:
         reason, _, place = str(error).partition(" - at `$.")
         raise ConfigError(f"{name}: {place.rstrip('`')}: {reason}") from None
-    for table in ("store", "books", "progress", "recovery"):
+    for table in ("store", "books", "progress", "recovery", "leases"):
         problem = getattr(ours, table).problem()
         if problem is not None:
             raise ConfigError(f"{name}: {table}.{problem[0]}: {problem[1]}")
--- a/beaconhinge/leases/holder.py
+++ b/beaconhinge/leases/holder.py
@@ -114,7 +114,9 @@
         if len(asked.granted) >= self.council.majority:
             return done + self._granted(now, asked)
         if len(asked.refused) > len(self.council.members) - self.council.majority:
-            return done + self._failed(now)
+            done += self._failed(now)
+            if now >= self.ask_at:  # only the number was too low
+                done += self._ask(now)
         return done
 
     @property
--- a/beaconhinge/leases/node.py
+++ b/beaconhinge/leases/node.py
@@ -29,8 +29,9 @@
         if self.out:
             return []
         if lease not in self.holders:
-            self.holders[lease] = Holder(self.member.own, lease, self.member.council, self.member.terms,
-                                         self.random)
+            member = self.member
+            self.holders[lease] = Holder(member.own, lease, member.council, member.terms, self.random,
+                                         highest=member.highest.get(lease, member.floor))
         return self._route(now, self.holders[lease].want(now))
 
     def give_up(self, now: float, lease: int, stay_out: float = 0.0) -> list[Action]:
--- /dev/null
+++ b/beaconhinge/net/lease_calls.py
@@ -0,0 +1,156 @@
+"""Tasks under leases: calls that one dispatcher makes for all, and leases taken for an operator's command."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from ..config import Config, ConfigError
+from ..config.ours import LeaseCall
+from ..config.ours import Leases as Settings
+from ..config.platform import address
+from ..management import calls
+from ..management.calls import Call
+from ..stats import Stats
+from ..store import Store
+from ..wheel import Wheel
+from . import http1
+from .http1 import BadMessage, Closed, Connection
+from .leases import LeaseLost, Leases, Tenure
+from .operators import Operators
+from .peers import Peers
+from .sockets import connect
+from .upgrade import Upgrade
+
+CONNECT = 0.25  # seconds for a connection, which costs nothing of an act's longest time
+REFUSED = (409, 412)  # answers of who has seen a greater number
+TAKEN = 3.0  # seconds for which one call takes a lease: whoever uses it calls again
+LOOK = 0.05  # seconds between looks whether it is still taken
+
+
+def lease(ours: Settings, config: Config, store: Store | None, operators: Operators, upgrade: Upgrade | None,
+          peers: Peers, wheel: Wheel, stats: Stats, inherited: dict[str, Any] | None) -> Leases:
+    """Raises ConfigError where the others cannot be heard."""
+    if config.peer_listen is None and config.settings.group_size > 1:
+        raise ConfigError("leases.enabled: needs peer_listen and peers, by which dispatchers hear each other")
+    leases = Leases(ours, config, store, peers, wheel, stats)
+    if upgrade is not None:
+        upgrade.parts["leases"] = leases.handed_over, leases.taken_back
+    operators.acts |= Taken(leases, wheel, stats).acts
+    leases.open((inherited or {}).get("leases"))
+    Calls(leases, wheel, stats).start(ours.calls)
+    return leases
+
+
+class Calls:
+    """POST to an address at each whole multiple of `every_s` in Unix time, by whoever has the lease then."""
+
+    def __init__(self, leases: Leases, wheel: Wheel, stats: Stats) -> None:
+        self.leases = leases
+        self.wheel = wheel
+        self.stats = stats
+
+    def start(self, wanted: list[LeaseCall]) -> None:
+        for call in wanted:
+            self.stats.spawn(self._run(call), f"lease {call.name}")
+
+    async def _run(self, call: LeaseCall) -> None:
+        while True:
+            try:
+                async with self.leases.hold(call.name) as tenure:
+                    while await self._act(call, tenure):
+                        pass
+            except LeaseLost:
+                pass  # told and counted; another has it, or this process was away
+            await asyncio.sleep(call.longest_s)  # who was refused, or handed it over, lets others come first
+
+    async def _act(self, call: LeaseCall, tenure: Tenure) -> bool:
+        """Whether to go on with this tenure."""
+        now = self.wheel.now()
+        due = (math.floor(now / call.every_s) + 1) * call.every_s
+        await asyncio.sleep(due - now)
+        connection = None
+        try:
+            async with self.wheel.limit(CONNECT):
+                connection = Connection(await connect(address(call.to, call.name)), False, lambda: None)
+            head = {"Host": call.to, "X-Lease": call.name, "X-Lease-Number": str(tenure.number),
+                    "Content-Length": "0"}
+            data = http1.request("POST", call.path.encode(), head)
+            # From here to the kernel nothing else runs: what comes late is told by its number.
+            if not tenure.guard(call.longest_s):
+                self.stats.count("lease_acts_put_off")
+                return tenure.left > 0
+            async with self.wheel.limit(call.longest_s):
+                await connection.send(data)
+                answer = await connection.next()
+            tenure.done()
+        except (OSError, Closed, BadMessage) as error:  # a time-out is an OSError too
+            self.stats.complain("lease_act_failed", lease=call.name, why=f"{type(error).__name__}: {error}")
+            return True
+        finally:
+            if connection is not None:
+                connection.close()
+        self.stats.count("lease_acts")
+        if answer.status in REFUSED:
+            self.stats.complain("lease_number_refused", lease=call.name, number=tenure.number)
+            return False
+        return True
+
+
+class Taken:
+    """Leases that operators take by calls, for commands of theirs."""
+
+    def __init__(self, leases: Leases, wheel: Wheel, stats: Stats) -> None:
+        self.leases = leases
+        self.wheel = wheel
+        self.stats = stats
+        self.acts: dict[str, Callable[[Call], bytes | Awaitable[bytes]]] = {
+            calls.LEASE_LIST: self._list, calls.LEASE_TAKE: self._take, calls.LEASE_GIVE: self._give,
+            calls.LEASE_HAND_OVER: self._hand_over}
+
+    def _list(self, _call: Call) -> bytes:
+        return calls.shown(self.leases.show())
+
+    def _take(self, call: Call) -> bytes:
+        try:
+            lease = self.leases.lease(call.word)
+        except ValueError as why:
+            return calls.failure(str(why))
+        lease.taken_until = self.wheel.now() + TAKEN
+        if lease.taker is None or lease.taker.done():
+            lease.taker = self.stats.spawn(self._keep(call.word), f"lease {call.word}")
+        held = self.leases.now_held(lease)
+        if held is None:
+            return calls.success("waiting")
+        return calls.success(f"held {held.number} {max(0, int(1000 * (held.end - self.wheel.now())))}")
+
+    def _give(self, call: Call) -> bytes:
+        """The command has ended."""
+        try:
+            self.leases.lease(call.word).taken_until = 0.0
+        except ValueError as why:
+            return calls.failure(str(why))
+        return calls.success(f"{call.word} is given up")
+
+    def _hand_over(self, call: Call) -> bytes:
+        try:
+            held = self.leases.hand_over(self.leases.lease(call.word))
+        except ValueError as why:
+            return calls.failure(str(why))
+        if not held:
+            return calls.failure(f"{call.word} is not held here")
+        return calls.success(f"{call.word} is for others")
+
+    async def _keep(self, name: str) -> None:
+        lease = self.leases.lease(name)
+        while self.wheel.now() < lease.taken_until:
+            try:
+                async with asyncio.timeout(max(0.0, lease.taken_until - self.wheel.now())) as wait, \
+                        self.leases.hold(name):
+                    wait.reschedule(None)
+                    while self.wheel.now() < lease.taken_until:
+                        await asyncio.sleep(LOOK)
+            except (LeaseLost, TimeoutError):
+                pass
--- /dev/null
+++ b/beaconhinge/net/leases.py
@@ -0,0 +1,381 @@
+"""Wires leases: datagrams, timers, numbers on the disk, the port that only one process of a name has."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import math
+import random
+import socket
+import struct
+import time
+from collections.abc import Callable, Iterable
+from types import TracebackType
+from typing import Any
+
+from ..config import Config
+from ..config.ours import Leases as Settings
+from ..errors import Error
+from ..leases import holder, node, terms, wire
+from ..leases.holder import Held, Lost
+from ..leases.node import Action, Node
+from ..leases.terms import Council, Terms
+from ..leases.votes import Say, Write
+from ..recovery import lives
+from ..stats import Stats
+from ..store import Put, Store, StoreError
+from ..wheel import Timer, Wheel
+from .peers import Peers
+
+LOCK_AGAIN = 0.1  # seconds between tries for the port
+DISK_WITHIN = 1.0  # seconds after which a number that is not on the disk counts as not written
+STEP_AGAIN = 0.2  # seconds between words of a step to those who have not told theirs
+PREFIX = b"lease/"
+_NUMBER = struct.Struct(">Q")
+
+
+class LeaseLost(Error):
+    """A tenure ended while the body of `async with` was at work; it was cancelled."""
+
+
+class Tenure:
+    """One holding of a lease, from its grant to its end."""
+
+    def __init__(self, leases: Leases, lease: _Lease, number: int) -> None:
+        self.number = number  # greater than that of every tenure before; goes with each act
+        self._leases = leases
+        self._lease = lease
+
+    @property
+    def left(self) -> float:
+        """Seconds for which it holds without a renewal; 0 once it is over."""
+        held = self._leases.now_held(self._lease)
+        mine = held is not None and held.number == self.number
+        return max(0.0, held.end - self._leases.wheel.now()) if held is not None and mine else 0.0
+
+    def guard(self, longest: float) -> bool:
+        """Whether an act of `longest` seconds at most may begin, in this very step of the event loop. Until
+        then, or `done`, the lease is not given up, whatever ends the body.
+        """
+        held = self._leases.now_held(self._lease)
+        if held is None or held.number != self.number:
+            return False
+        now = self._leases.wheel.now()
+        if not held.guard(now, longest, self._leases.terms.drift):
+            return False
+        self._lease.busy_until = now + longest
+        return True
+
+    def done(self) -> None:
+        """The act has ended, and is known to have."""
+        self._lease.busy_until = 0.0
+
+
+class _Lease:
+    """What this process wants of one lease."""
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.key = terms.key(name)
+        self.turn = asyncio.Lock()  # one body at a time
+        self.changed = asyncio.Event()
+        self.lost: Callable[[], None] | None = None  # tells the body
+        self.busy_until = 0.0  # an act may be under way
+        self.taken_until = 0.0  # by an operator's command
+        self.taker: asyncio.Task[None] | None = None
+
+
+class Hold:
+    """`async with leases.hold(name) as tenure`: waits for the lease, without bound. The body is cancelled
+    when the tenure ends early, and LeaseLost raised; when the body ends, the lease is given up.
+    """
+
+    def __init__(self, leases: Leases, lease: _Lease) -> None:
+        self._leases = leases
+        self._lease = lease
+        self._task: asyncio.Task[Any] | None = None
+        self._expired = False
+
+    async def __aenter__(self) -> Tenure:
+        lease = self._lease
+        await lease.turn.acquire()
+        try:
+            self._leases.want(lease)
+            while (held := self._leases.now_held(lease)) is None:
+                lease.changed.clear()
+                await lease.changed.wait()
+        except BaseException:
+            self._leases.give_up(lease)
+            lease.turn.release()
+            raise
+        self._task = asyncio.current_task()
+        lease.lost = self._lost
+        return Tenure(self._leases, lease, held.number)
+
+    def _lost(self) -> None:
+        if self._task is not None and not self._expired:
+            self._expired = True
+            self._task.cancel()
+
+    async def __aexit__(
+        self, kind: type[BaseException] | None, error: BaseException | None, trace: TracebackType | None
+    ) -> None:
+        self._lease.lost = None
+        self._leases.give_up(self._lease)
+        self._lease.turn.release()
+        # A cancellation from elsewhere at the same moment goes on as what it is.
+        if self._expired and self._task is not None and self._task.uncancel() == 0:
+            if kind is asyncio.CancelledError:
+                raise LeaseLost(f"lease {self._lease.name} was lost") from error
+
+
+class Leases:
+    def __init__(self, ours: Settings, config: Config, store: Store | None, peers: Peers, wheel: Wheel,
+                 stats: Stats, rng: Callable[[], float] = random.random) -> None:
+        self.config = config
+        self.store = store
+        self.peers = peers
+        self.wheel = wheel
+        self.stats = stats
+        self.random = rng
+        self.council, self.terms = self._read(ours)
+        self.node: Node | None = None  # until this process is the one of its name
+        self._leases: dict[int, _Lease] = {}
+        self._lock: socket.socket | None = None
+        self._timer: Timer | None = None
+        self._timer_at = math.inf
+        self._leaving = False
+        peers.talk[wire.LEASE] = self._heard
+
+    def _read(self, ours: Settings) -> tuple[Council, Terms]:
+        members = frozenset(ours.members or range(self.config.settings.group_size))
+        return (Council(ours.number, members, frozenset(ours.members_before)),
+                Terms(ours.span_s, ours.span_before_s))
+
+    def open(self, inherited: dict[str, Any] | None = None) -> None:
+        """`inherited`: what the other process of this dispatcher has handed over."""
+        self.stats.spawn(self._begin(inherited), "leases")
+
+    async def _begin(self, inherited: dict[str, Any] | None) -> None:
+        while not self._alone():
+            self.stats.complain("leases_twice", port=self.peers.config.peer_listen)
+            await asyncio.sleep(LOCK_AGAIN)
+        now = self.wheel.now()
+        floor = round(now * 1000)  # wall time, above every number of an earlier life that a folder has lost
+        numbers = {lease: max(number, floor) for lease, number in self._numbers()}
+        made = node.new(self.config.settings.own_number, self.council, self.terms, now, self.random, floor,
+                        self.store is not None, numbers)
+        if inherited is not None:
+            try:
+                made.take_over(now, max(0.0, time.monotonic() - float(inherited["at"])), inherited["node"])
+            except (KeyError, TypeError, ValueError) as error:
+                self.stats.complain("leases_not_inherited", why=f"{type(error).__name__}: {error}")
+        self.node = made
+        self.stats.log("leases_open", members=len(self.council.members), number=self.council.number,
+                       silent_for=max(0.0, made.member.silent_until - now))
+        self._steps()
+        for lease in self._leases.values():
+            if lease.turn.locked():
+                self.want(lease)
+
+    def _alone(self) -> bool:
+        """Bind what the kernel gives to one process: the TCP port of the number that datagrams come to."""
+        address = self.peers.config.peer_listen
+        if address is None:
+            return len(self.council.members) <= 1
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            sock.bind(address)
+        except OSError:
+            sock.close()
+            return False
+        self._lock = sock
+        return True
+
+    def _numbers(self) -> Iterable[tuple[int, int]]:
+        if self.store is None:
+            return
+        name, number = self.config.name, self.config.settings.own_number
+        try:
+            for place, data in self.store.scan(PREFIX):
+                body = lives.read_signed(data, name, number)
+                if body is not None and len(body) == _NUMBER.size:
+                    yield int.from_bytes(place[len(PREFIX):], "big"), _NUMBER.unpack(body)[0]
+        except StoreError as error:  # wall time stands above them
+            self.stats.complain("leases_not_read", why=f"{type(error).__name__}: {error}")
+
+    # ---- what the parts here ask for -----------------------------------------------------------------------
+
+    def hold(self, name: str) -> Hold:
+        """Raises ValueError for what is no name of a lease."""
+        return Hold(self, self.lease(name))
+
+    def lease(self, name: str) -> _Lease:
+        if not terms.NAME.fullmatch(name):
+            raise ValueError(f"{name[:50]}: a lease's name has letters, digits and dashes, 40 at most")
+        key = terms.key(name)
+        if key not in self._leases:
+            self._leases[key] = _Lease(name)
+        return self._leases[key]
+
+    def want(self, lease: _Lease) -> None:
+        if self.node is not None and not self._leaving:
+            self._perform(self.node.want(self.wheel.now(), lease.key))
+
+    def give_up(self, lease: _Lease, stay_out: float = 0.0) -> None:
+        """Once no act can be under way any more. Till then the lease is kept, and nobody else gets it."""
+        now = self.wheel.now()
+        if self.node is None:
+            return
+        if now < lease.busy_until:
+            self.wheel.after(lease.busy_until - now, lambda: self._free(lease, stay_out))
+        else:
+            self._perform(self.node.give_up(now, lease.key, stay_out))
+
+    def _free(self, lease: _Lease, stay_out: float) -> None:
+        if not lease.turn.locked():  # nobody here has it again
+            self.give_up(lease, stay_out)
+
+    def now_held(self, lease: _Lease) -> holder.Tenure | None:
+        """With a look at the clock first: a process that was stopped may hold it no longer."""
+        if self.node is None:
+            return None
+        self._perform(self.node.turn(self.wheel.now()))
+        held = self.node.holders.get(lease.key)
+        return held.tenure if held is not None else None
+
+    def hand_over(self, lease: _Lease) -> bool:
+        """Have another take it: the body here is cancelled, and this process stays out for a span. Whether it
+        was held here.
+        """
+        if self.now_held(lease) is None:
+            return False
+        tell = lease.lost
+        self.give_up(lease, self.terms.span)
+        if tell is not None:
+            tell()
+        return True
+
+    def show(self) -> str:
+        """One line of JSON."""
+        now = self.wheel.now()
+        member = self.node.member if self.node is not None else None
+        shown = {}
+        for lease in sorted(self._leases.values(), key=lambda lease: lease.name):
+            held = self.now_held(lease)
+            vote = member.votes.get(lease.key) if member is not None else None
+            shown[lease.name] = {
+                "held": held is not None, "number": held.number if held is not None else 0,
+                "left_s": round(max(0.0, held.end - now), 3) if held is not None else 0.0,
+                "vote_for": vote.holder if vote is not None and now < vote.until else -1}
+        votes_in = max(0.0, member.voting_at - now) if member is not None else -1.0
+        return json.dumps({"council": self.council.number, "members": sorted(self.council.members),
+                           "votes_in_s": round(votes_in, 3) if votes_in < math.inf else -1.0,
+                           "leases": shown}, separators=(",", ":"))
+
+    def leave(self) -> None:
+        """Before the last word to the others. What an act is under way for ends by its span."""
+        self._leaving = True
+        now = self.wheel.now()
+        for lease in self._leases.values():
+            if self.node is not None and now >= lease.busy_until:
+                self._perform(self.node.give_up(now, lease.key))
+
+    # ---- an upgrade, and steps -----------------------------------------------------------------------------
+
+    def handed_over(self) -> dict[str, Any] | None:
+        """For the process that replaces this one, which is out from here on."""
+        if self.node is None:
+            return None
+        now = self.wheel.now()
+        busy = frozenset(lease.key for lease in self._leases.values() if now < lease.busy_until)
+        actions, state = self.node.hand_over(now, busy)
+        self._perform(actions)
+        self.node = None
+        if self._lock is not None:
+            self._lock.close()
+        return {"at": time.monotonic(), "node": state}
+
+    def taken_back(self) -> None:
+        """The new process has died. What it granted or held is over after a span of silence."""
+        if self.node is None:
+            self.open()
+
+    def reload(self, ours: Settings) -> str:
+        """Take a step, or say why not."""
+        council, span = self._read(ours)
+        if (council, span) == (self.council, self.terms):
+            return ""
+        if council.number <= self.council.number:
+            return f"leases.number: must be over {self.council.number} where members or spans change"
+        self.council, self.terms = council, span
+        if self.node is not None:
+            self._perform(self.node.adopt(self.wheel.now(), council, span))
+            self._steps()
+        self.stats.log("leases_step", number=council.number, members=len(council.members))
+        return ""
+
+    def _steps(self) -> None:
+        if self.node is None:
+            return
+        actions = self.node.member.steps()
+        self._perform(actions)
+        if actions:
+            self.wheel.after(STEP_AGAIN, self._steps)
+
+    # ---- the node ------------------------------------------------------------------------------------------
+
+    def _heard(self, number: int, payload: bytes) -> None:
+        message = wire.decode(payload)
+        if message is None:
+            self.stats.complain("datagram_malformed", sender=number, bytes=len(payload))
+        elif self.node is not None:
+            self._perform(self.node.hear(self.wheel.now(), number, message))
+
+    def _perform(self, actions: Iterable[Action]) -> None:
+        for action in actions:
+            match action:
+                case Say():
+                    self.peers.send(action.to, wire.encode(action.message))
+                case Write():
+                    self.stats.spawn(self._write(action), "lease number")
+                case Held():
+                    self._tell(action.lease, "lease_held", number=action.number)
+                case Lost():
+                    self._tell(action.lease, "lease_lost", number=action.number, why=action.why)
+        self._schedule()
+
+    def _tell(self, key: int, event: str, **fields: object) -> None:
+        lease = self._leases[key]
+        self.stats.count("leases_held" if event == "lease_held" else "leases_lost")
+        self.stats.log(event, lease=lease.name, **fields)
+        lease.changed.set()
+        if event == "lease_lost" and lease.lost is not None:
+            lease.lost()
+
+    def _schedule(self) -> None:
+        at = self.node.next_at if self.node is not None else math.inf
+        if at == math.inf or self._timer is not None and self._timer_at <= at:
+            return  # an earlier timer looks again
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer_at = at
+        self._timer = self.wheel.after(max(0.0, at - self.wheel.now()), self._turn)
+
+    def _turn(self) -> None:
+        self._timer, self._timer_at = None, math.inf
+        if self.node is not None:
+            self._perform(self.node.turn(self.wheel.now()))
+
+    async def _write(self, write: Write) -> None:
+        own, well = self.node, False
+        record = lives.signed(self.config.name, self.config.settings.own_number, _NUMBER.pack(write.number))
+        try:
+            async with self.wheel.limit(DISK_WITHIN):
+                if self.store is not None:
+                    await self.store.commit([Put(PREFIX + write.lease.to_bytes(8, "big"), record)])
+            well = True
+        except (StoreError, TimeoutError) as error:
+            self.stats.complain("lease_not_written", why=f"{type(error).__name__}: {error}")
+        if own is not None and own is self.node:
+            self._perform(own.written(self.wheel.now(), write, well))
--- a/beaconhinge/net/operators.py
+++ b/beaconhinge/net/operators.py
@@ -34,6 +34,8 @@
             calls.DISABLE: self._take_out_or_put_back, calls.ENABLE: self._take_out_or_put_back,
             calls.DRAIN: self._drain_or_resume, calls.RESUME: self._drain_or_resume,
         }
+        for name in (calls.LEASE_LIST, calls.LEASE_TAKE, calls.LEASE_GIVE, calls.LEASE_HAND_OVER):
+            self.acts[name] = lambda call: calls.failure("leases are not switched on")
 
     def _ready(self, _call: Call) -> bytes:
         if not self.replaces():
--- a/beaconhinge/net/upgrade.py
+++ b/beaconhinge/net/upgrade.py
@@ -111,6 +111,8 @@
         self.stats = stats
         self.word = shared / f"beaconhinge-{config.listen[0]}-{config.listen[1]}.json"
         self.token = secrets.token_hex(16)
+        # What other parts hand over, and what they do when the new process has died.
+        self.parts: dict[str, tuple[Callable[[], Any], Callable[[], None]]] = {}
         self.before: Link | None = None  # to the process that this one replaces
         self.after: Link | None = None  # to the one that replaces this one
         self._ready_at = wheel.now() + READY_BY
@@ -230,7 +232,7 @@
         form = handover.seal({
             "module": handover.take(self.core.dispatcher), "out": sorted(self.operators.out),
             "list": self.discovery.inventory.write(self.discovery.version or 0, self.workers.hosts()),
-            "discovery": self.discovery.address})
+            "discovery": self.discovery.address, **{name: give() for name, (give, _) in self.parts.items()}})
         link = self.after = Link(sock, self.stats)
         link.start(self._from_after, self._after_ended)
         self._told = self._out()
@@ -270,6 +272,8 @@
             self.frontend.take_back()
             self.budget.limit_to(SHARE if self.before is not None else 1.0)
             self._leave_word()
+        for _, take_back in self.parts.values():
+            take_back()
 
     def _tell_slots(self) -> None:
         if self.after is None:
--- /dev/null
+++ b/beaconhinge/standin/resource.py
@@ -0,0 +1,57 @@
+"""What is acted on under leases, as a process with its own clock: each act is told in a line of JSON.
+
+    python -m beaconhinge.standin.resource SEED
+
+The first line tells the port. A number under the highest seen is refused, and told as well.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+import sys
+import time
+
+from ..net import http1
+from ..net.http1 import Message
+from .http import Server
+
+SHORTEST, LONGEST = 0.01, 0.06  # seconds that an act takes
+
+
+class Resource:
+    def __init__(self, seed: int) -> None:
+        self.random = random.Random(seed)
+        self.highest: dict[str, int] = {}
+        self.server = Server(self._answer)
+
+    async def _answer(self, message: Message) -> bytes:
+        begin = time.monotonic()
+        lease = message.headers.get("x-lease", "")
+        try:
+            number = int(message.headers.get("x-lease-number", ""))
+        except ValueError:
+            return http1.response(400)
+        if number < self.highest.get(lease, 0):
+            self._tell(lease, number, begin, begin, False)
+            return http1.response(409)
+        self.highest[lease] = number
+        await asyncio.sleep(self.random.uniform(SHORTEST, LONGEST))
+        self._tell(lease, number, begin, time.monotonic(), True)
+        return http1.response(200)
+
+    def _tell(self, lease: str, number: int, begin: float, end: float, accepted: bool) -> None:
+        told = {"lease": lease, "number": number, "begin": begin, "end": end, "accepted": accepted}
+        print(json.dumps(told), flush=True)
+
+
+async def main(seed: int) -> None:
+    resource = Resource(seed)
+    print(json.dumps({"port": resource.server.port}), flush=True)
+    resource.server.start()
+    await asyncio.Event().wait()
+
+
+if __name__ == "__main__":
+    asyncio.run(main(int(sys.argv[1])))
--- a/beaconhinge/standin/rig/process.py
+++ b/beaconhinge/standin/rig/process.py
@@ -30,7 +30,8 @@
         self.counters: Counter[str] = Counter()  # of all lives, as each last told
         self._told: Mapping[str, Any] = {}
         self._ends = 0
-        self._starting = False
+        self.starting = False
+        self.ending = False
         self._down_at: float | None = None
         self._reader: asyncio.Task[None] | None = None
         self._process: asyncio.subprocess.Process | None = None
@@ -46,14 +47,14 @@
         (self.folder / "ours.toml").write_text(self.ours)
         self._process = await start({"BEACONHINGE_CONFIG": str(self.folder / "ours.toml")}, "-O")
         self._reader = asyncio.create_task(self._read(self._process))
-        ends, self._starting = self._ends, True
+        ends, self.starting = self._ends, True
         try:
             await until_up(self._process, self.port, self.lines)
         except SceneError:
             if self._ends == ends:
                 raise
         else:
-            self._starting = False
+            self.starting = False
             self._up()
 
     def _up(self) -> None:
@@ -82,7 +83,7 @@
 
     def go_on(self) -> None:
         self.signal(SIGCONT)
-        if not self._starting:
+        if not self.starting:
             self._up()
 
     async def end(self, number: Signals) -> int:
@@ -90,7 +91,9 @@
         assert self._process is not None
         self._ends += 1
         self._down_at = self._down_at or time.monotonic()
+        self.ending = True
         status = await end(self._process, number)
+        self.ending = False
         if self._reader is not None:
             await self._reader
         self.counters.update(self._told)
--- a/beaconhinge/standin/rig/story.py
+++ b/beaconhinge/standin/rig/story.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import random
 import tomllib
 from pathlib import Path
 from typing import Literal
@@ -11,6 +12,8 @@
 
 from ...errors import Error
 
+Drawn = Literal["stop", "kill", "term", "cut", "lossy"]
+FAULTS: tuple[Drawn, ...] = ("stop", "stop", "kill", "term", "cut", "lossy")
 MOST_PROCESSES, MOST_BOXES, MOST_SECONDS, MOST_RATE = 40, 200, 600.0, 2000.0
 
 
@@ -53,6 +56,10 @@
     recovery: bool = True
     store: bool = True  # whether dispatchers keep one in their folder
     stall_s: float = 1.0
+    leases: int = 0  # so many, each with a call every `act_s` to a resource that writes down who acts
+    span_s: float = 1.0
+    act_s: float = 0.1
+    drawn: int = 0  # faults more, of every kind, drawn from the seed
     faults: list[Fault] = []
 
     def hit(self, fault: Fault) -> list[int]:
@@ -62,7 +69,9 @@
         bounds = {"processes": (1, MOST_PROCESSES), "boxes": (1, MOST_BOXES), "racks": (1, self.boxes),
                   "slots": (1, 64), "rate": (0.1, MOST_RATE), "seconds": (0.1, MOST_SECONDS), "keyed": (0, 1),
                   "render_s": (0.001, 60), "publish_s": (0.001, 60), "patience_s": (0.1, 60),
-                  "quota_rps": (0.1, MOST_RATE), "greedy": (0, 10)}
+                  "quota_rps": (0.1, MOST_RATE), "greedy": (0, 10),
+                  "span_s": (0.5, 60), "act_s": (0.05, 60), "drawn": (0, 100),
+                  "leases": (0, 20)}
         for key, (least, most) in bounds.items():
             if not least <= getattr(self, key) <= most:
                 return f"{key}: must be between {least} and {most}"
@@ -74,6 +83,30 @@
         return None
 
 
+def draw(story: Story) -> Story:
+    """Its faults, and as many more as it wants drawn: in the first half of it, none longer than two spans,
+    so that what holds again in the end can be seen.
+    """
+    rng, spans = random.Random(f"{story.seed}/faults"), story.span_s
+    found = list(story.faults)
+    for _ in range(story.drawn):
+        what = rng.choice(FAULTS)
+        at = rng.uniform(0.1, 0.5) * story.seconds
+        who = rng.sample(range(story.processes), rng.randint(1, max(1, story.processes // 2)))
+        if what in ("kill", "term"):
+            every = what == "kill" and rng.random() < 0.2
+            found.append(Fault(at, what, rng.uniform(0.05, 0.5), [] if every else who,
+                               folder=rng.choice(("same", "empty")) if what == "kill" else "same"))
+        elif what == "stop":
+            found.append(Fault(at, what, spans * rng.choice((0.33, 0.9, 1.1, 2.0)), who))
+        elif what == "cut":
+            to = rng.sample(range(story.processes), rng.randint(1, story.processes))
+            found.append(Fault(at, what, spans * rng.uniform(0.5, 2.0), who, to))
+        else:
+            found.append(Fault(at, what, spans * rng.uniform(1.0, 2.0), part=0.5))
+    return msgspec.structs.replace(story, faults=found)
+
+
 def read(path: str | os.PathLike[str], seed: int | None = None) -> Story:
     """Raises StoryError."""
     try:
--- a/beaconhinge/standin/rig/verdict.py
+++ b/beaconhinge/standin/rig/verdict.py
@@ -23,6 +23,16 @@
     tenant: str = ""
 
 
+class Act(msgspec.Struct):
+    """One act under a lease, as the resource wrote it down by its own clock."""
+
+    lease: str
+    number: int
+    begin: float
+    end: float
+    accepted: bool = True
+
+
 class Verdict(msgspec.Struct):
     """`broken`: rules, in words. A story in which nothing was done, or a fault hit nothing, is broken too."""
 
@@ -40,6 +50,9 @@
     served_after: float
     first_share: float  # of the tries within quota in the 5 s after the last fault, served
     greedy_share: float  # what the tenant beyond its quota got then, in quotas
+    acts: int  # under a lease, and the tenures that they were of
+    tenures: int
+    stale: int  # acts that the resource refused for their number
     orphans: int  # plain jobs of an old life that boxes still ran ORPHANED s after a return
     broken: list[str]
     last: list[str]  # the last events, where a rule was broken
@@ -63,6 +76,20 @@
         begun - grace <= try_.ended and try_.at <= ended + grace for begun, ended in stood[try_.dispatcher])]
 
 
+def collisions(acts: Iterable[Act]) -> list[str]:
+    """Acts of two tenures at one time, and numbers accepted after greater ones."""
+    found, last = list[str](), dict[str, Act]()
+    for act in sorted((act for act in acts if act.accepted), key=lambda act: act.begin):
+        before = last.get(act.lease, act)
+        if before.number != act.number and act.begin < before.end:
+            found.append(f"acts under {before.number} and {act.number} of lease {act.lease} overlap by "
+                         f"{before.end - act.begin:.3f} s")
+        if act.number < before.number:
+            found.append(f"lease {act.lease}: {act.number} was accepted after {before.number}")
+        last[act.lease] = max(before, act, key=lambda act: act.end)
+    return found
+
+
 def run_twice(runs: Mapping[str, int]) -> list[str]:
     return sorted(key for key, times in runs.items() if times > 1)
 
