Tell a life to the others also when the disk was slow to count it

Cause: after a second in listening the phases went on with nobody asked, and a life that was counted later was never told, so that a backup put back on a slow disk was not found out. Change: who is to be asked is taken in asking too, and all of them are told once whatever the phase. Checked by a test of the pure machine, which fails without it.

--- a/beaconhinge/net/returning.py
+++ b/beaconhinge/net/returning.py
@@ -124,7 +124,8 @@
         if self.store is not None:
             await self._count_life(self.store)
         self._feed(phases.Asked(self._others()))
-        self._ask()
+        for number in self._others():  # also where the phases have gone on without the disk
+            self._tell(number, asks=True)
 
     async def _count_life(self, store: Store) -> None:
         """On the disk before it is told, so that the next start never tells it again."""
--- a/beaconhinge/recovery/phases.py
+++ b/beaconhinge/recovery/phases.py
@@ -65,9 +65,10 @@
         match event:
             case Opened() if self.phase == READING:
                 return self._enter(now, LISTENING)
-            case Asked() if self.phase == LISTENING:
+            case Asked() if self.phase in (LISTENING, ASKING):  # the disk may have been slow
                 self.silent = set(event.others)
-                return self._enter(now, ASKING)
+                if self.phase == LISTENING:
+                    return self._enter(now, ASKING)
             case Woke() if LISTENING < self.phase < NORMAL:
                 # What was heard before may be of a fleet that has lost its power since.
                 self.listed, self.silent, self.serving = False, set(event.others), set()
--- a/tests/recovery/test_phases.py
+++ b/tests/recovery/test_phases.py
@@ -58,6 +58,7 @@
     slow_disk = Return(0.0)
     slow_disk.feed(0.0, phases.Opened())
     assert slow_disk.feed(1.0, phases.Turn()) == [ASKING] and slow_disk.feed(1.1, phases.Asked(OTHERS)) == []
+    assert slow_disk.silent == OTHERS and slow_disk.feed(1.5, phases.Turn()) == [NORMAL]
 
 
 def test_a_life_told_by_two_starts_is_stale_and_the_same_word_twice_is_not() -> None:
