--- a/tests/leases/defects.py
+++ b/tests/leases/lease_defects.py
@@ -9,7 +9,7 @@
 from typing import Any
 from unittest.mock import patch
 
-from explore import Move, World, shortest, walk, world_of
+from lease_explorer import Move, World, shortest, walk, world_of
 
 from beaconhinge.leases.holder import Holder, Tenure
 from beaconhinge.leases.node import Node
--- a/tests/leases/test_explore.py
+++ b/tests/leases/test_explore.py
@@ -6,8 +6,8 @@
 from collections import Counter
 
 import pytest
-from defects import DEFECTS, find
-from explore import SETTINGS, THREE, Bounds, World, exhaust, made, walk, world_of
+from lease_defects import DEFECTS, find
+from lease_explorer import SETTINGS, THREE, Bounds, World, exhaust, made, walk, world_of
 
 
 @pytest.mark.parametrize("name", SETTINGS)
--- a/tests/leases/test_nodes.py
+++ b/tests/leases/test_nodes.py
@@ -5,7 +5,7 @@
 import random
 
 import pytest
-from fleet import Fleet
+from lease_fleet import Fleet
 from hypothesis import given
 from hypothesis import strategies as st
 
