--- a/tests/leases/test_nodes.py
+++ b/tests/leases/test_nodes.py
@@ -5,9 +5,9 @@
 import random
 
 import pytest
-from lease_fleet import Fleet
 from hypothesis import given
 from hypothesis import strategies as st
+from lease_fleet import Fleet
 
 from beaconhinge.leases import node, terms, wire
 from beaconhinge.leases.holder import Held, Lost
