Give a lease up only once its act is over, and let the same process take it again at once

Cause: an operator's hand-over while a call was under way was forgotten when the call's loop took the lease again; and a process that had given a lease up asked for it again only when it would have renewed it. Change: the end of the body waits for the act, which keeps the lease; what is asked for next counts from the giving up.

--- a/beaconhinge/leases/holder.py
+++ b/beaconhinge/leases/holder.py
@@ -83,7 +83,8 @@
     def give_up(self, now: float, stay_out: float = 0.0) -> list[Action]:
         """At once, for others to take; not asked for again before `stay_out` is over."""
         self.wanted = False
-        self.ask_at = max(self.ask_at, now + stay_out)
+        # Of a tenure it is when it would have been renewed; of a contender, when it is worth asking again.
+        self.ask_at = now + stay_out if self.tenure is not None else max(self.ask_at, now + stay_out)
         return self.turn(now)
 
     def adopt(self, council: Council, terms: Terms) -> None:
--- a/beaconhinge/net/leases.py
+++ b/beaconhinge/net/leases.py
@@ -82,6 +82,7 @@
         self.changed = asyncio.Event()
         self.lost: Callable[[], None] | None = None  # tells the body
         self.busy_until = 0.0  # an act may be under way
+        self.stay_out = 0.0  # seconds, once it is given up, before it is asked for again
         self.taken_until = 0.0  # by an operator's command
         self.taker: asyncio.Task[None] | None = None
 
@@ -122,8 +123,14 @@
         self, kind: type[BaseException] | None, error: BaseException | None, trace: TracebackType | None
     ) -> None:
         self._lease.lost = None
-        self._leases.give_up(self._lease)
-        self._lease.turn.release()
+        try:
+            await self._leases.settled(self._lease)
+            self._leases.give_up(self._lease)
+        except asyncio.CancelledError:  # once more, while an act may be under way
+            self._leases.give_up_later(self._lease)
+            raise
+        finally:
+            self._lease.turn.release()
         # A cancellation from elsewhere at the same moment goes on as what it is.
         if self._expired and self._task is not None and self._task.uncancel() == 0:
             if kind is asyncio.CancelledError:
@@ -223,19 +230,20 @@
         if self.node is not None and not self._leaving:
             self._perform(self.node.want(self.wheel.now(), lease.key))
 
-    def give_up(self, lease: _Lease, stay_out: float = 0.0) -> None:
-        """Once no act can be under way any more. Till then the lease is kept, and nobody else gets it."""
-        now = self.wheel.now()
-        if self.node is None:
-            return
-        if now < lease.busy_until:
-            self.wheel.after(lease.busy_until - now, lambda: self._free(lease, stay_out))
-        else:
-            self._perform(self.node.give_up(now, lease.key, stay_out))
+    async def settled(self, lease: _Lease) -> None:
+        """Wait until no act can be under way any more. Till then it is kept, and nobody else gets it."""
+        while self.now_held(lease) is not None and (left := lease.busy_until - self.wheel.now()) > 0:
+            over = asyncio.Event()
+            self.wheel.after(left, over.set)
+            await over.wait()
+
+    def give_up_later(self, lease: _Lease) -> None:
+        self.wheel.after(max(0.0, lease.busy_until - self.wheel.now()), lambda: self.give_up(lease))
 
-    def _free(self, lease: _Lease, stay_out: float) -> None:
-        if not lease.turn.locked():  # nobody here has it again
-            self.give_up(lease, stay_out)
+    def give_up(self, lease: _Lease) -> None:
+        stay_out, lease.stay_out = lease.stay_out, 0.0
+        if self.node is not None:
+            self._perform(self.node.give_up(self.wheel.now(), lease.key, stay_out))
 
     def now_held(self, lease: _Lease) -> holder.Tenure | None:
         """With a look at the clock first: a process that was stopped may hold it no longer."""
@@ -251,10 +259,11 @@
         """
         if self.now_held(lease) is None:
             return False
-        tell = lease.lost
-        self.give_up(lease, self.terms.span)
-        if tell is not None:
-            tell()
+        lease.stay_out = self.terms.span
+        if lease.lost is not None:  # its body gives it up, once its act is over
+            lease.lost()
+        else:
+            self.give_up(lease)
         return True
 
     def show(self) -> str:
--- /dev/null
+++ b/tests/leases/test_hold.py
@@ -0,0 +1,131 @@
+"""The interface for parts of the program: a tenure, its guard, its end. One member, an injected clock, no sockets."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from types import SimpleNamespace
+from typing import Any
+
+import pytest
+
+from beaconhinge.config.ours import Leases as Settings
+from beaconhinge.leases import terms
+from beaconhinge.net.leases import LeaseLost, Leases
+from beaconhinge.stats import Stats
+from beaconhinge.wheel import Wheel
+
+
+class Alone:
+    """A dispatcher that is its own majority."""
+
+    def __init__(self) -> None:
+        self.now = 100.0
+        self.logged: list[str] = []
+        self.stats = Stats(lambda: self.now, writer=lambda event, fields: self.logged.append(event))
+        self.wheel = Wheel(lambda: self.now, self.stats.failure)
+        settings = SimpleNamespace(own_number=0, group_size=1)
+        config: Any = SimpleNamespace(name="n0", settings=settings, peer_listen=None)
+        peers: Any = SimpleNamespace(talk={}, config=config, send=lambda number, payload: None)
+        self.leases = Leases(Settings(enabled=True, span_s=2.0), config, None, peers, self.wheel, self.stats)
+
+    async def begin(self) -> None:
+        self.leases.open()
+        await asyncio.sleep(0)
+        self.pass_(2.1)  # its silence
+
+    def pass_(self, seconds: float) -> None:
+        self.now += seconds
+        self.wheel.turn()
+
+    def voted(self, name: str) -> bool:
+        assert self.leases.node is not None
+        vote = self.leases.node.member.votes.get(terms.key(name))
+        return vote is not None and self.now < vote.until
+
+
+def played(story: Callable[[Alone], Awaitable[None]]) -> Alone:
+    async def whole() -> Alone:
+        alone = Alone()
+        await alone.begin()
+        await story(alone)
+        return alone
+
+    return asyncio.run(whole())
+
+
+def test_an_act_may_begin_with_its_longest_time_left_and_the_lease_is_kept_till_it_is_over() -> None:
+    async def story(alone: Alone) -> None:
+        tenures = []
+
+        async def body() -> None:
+            async with alone.leases.hold("export") as tenure:
+                tenures.append(tenure)
+                assert tenure.number > 100_000 and 1.9 < tenure.left < 2.0
+                assert not tenure.guard(2.0) and tenure.guard(0.5)
+
+        task = asyncio.create_task(body())
+        await asyncio.sleep(0)
+        [tenure] = tenures
+        alone.pass_(0.4)
+        await asyncio.sleep(0)
+        assert alone.voted("export") and not task.done()  # the body has ended, the act perhaps not
+        alone.pass_(0.2)
+        await task
+        assert not alone.voted("export") and not tenure.guard(0.1) and tenure.left == 0.0
+        async with alone.leases.hold("export") as again:
+            assert again.number > tenure.number and again.guard(0.5) and not tenure.guard(0.1)
+            again.done()
+        assert not alone.voted("export")
+
+    played(story)
+
+
+def test_who_was_stopped_finds_its_tenure_over_before_anything_else() -> None:
+    async def story(alone: Alone) -> None:
+        with pytest.raises(LeaseLost):
+            async with alone.leases.hold("export") as tenure:
+                alone.now += 10.0  # no timer has run yet
+                assert not tenure.guard(0.1) and tenure.left == 0.0
+                await asyncio.sleep(60)
+        assert "lease_lost" in alone.logged
+
+    played(story)
+
+
+def test_it_is_renewed_while_it_is_held_and_one_body_waits_for_the_other() -> None:
+    async def story(alone: Alone) -> None:
+        order = []
+
+        async def body(name: str) -> None:
+            async with alone.leases.hold("export") as tenure:
+                order.append(name)
+                for _ in range(40):
+                    alone.pass_(0.1)
+                    await asyncio.sleep(0)
+                    assert tenure.left > 0.5
+                order.append(name)
+
+        await asyncio.gather(body("a"), body("b"))
+        assert order == ["a", "a", "b", "b"]
+
+    assert played(story).stats.counters["leases_held"] == 2
+
+
+def test_a_cancel_from_elsewhere_stays_one_and_what_is_no_name_is_refused() -> None:
+    async def story(alone: Alone) -> None:
+        async def body() -> None:
+            async with alone.leases.hold("export"):
+                await asyncio.sleep(60)
+
+        task = asyncio.create_task(body())
+        await asyncio.sleep(0)
+        task.cancel()
+        with pytest.raises(asyncio.CancelledError):
+            await task
+        assert not alone.voted("export")
+        for name in ("", "Export", "a b", "x" * 41):
+            with pytest.raises(ValueError, match="name"):
+                alone.leases.hold(name)
+
+    played(story)
