--- a/tests/leases/lease_defects.py
+++ b/tests/leases/lease_defects.py
@@ -129,7 +129,7 @@
 
 
 class Hurried(World):
-    weights = {"act": 8.0, "check": 0.1, "give": 0.1, "tick": 3.0, "turn": 2.0}
+    weights = {"act": 8.0, "check": 0.1, "give": 0.05, "tick": 3.0, "turn": 2.0, "crash": 0.01, "upgrade": 0.01}
 
     def __init__(self, **settings: Any) -> None:
         super().__init__(**settings)
@@ -169,7 +169,7 @@
     "majorities that do not overlap": ("3 members, 2 leases", World, [
         (Council, "majority", lambda real: property(lambda self: len(self.members) // 2))]),
     "a number that starts anew": ("3 members, 2 leases", NumbersAnew, []),
-    "an act without its time left": ("3 members, slow holder", Hurried, [
+    "an act without its time left": ("3 members, 2 leases", Hurried, [
         (Tenure, "guard", lambda real: lambda self, now, longest, drift: now < self.end)]),
     "the old process of an upgrade that goes on": ("3 members, 2 leases", World, [
         (Node, "hand_over", _old_process_renews)]),
