--- a/beaconhinge/__main__.py
+++ b/beaconhinge/__main__.py
@@ -54,8 +54,9 @@
     discovery = Discovery(config, core, workers, wheel, stats)
     peers = Peers(config, core, wheel, stats)
     requests = Requests(core, workers, wheel, stats, config.settings, config.class_names)
-    frontend = Frontend(config, requests, workers.news, lambda: bool(workers.workers), peers.others, wheel,
-                        budget, stats)
+    frontend = Frontend(config, requests, workers.news,
+                        lambda: bool(workers.workers) and discovery.current, peers.others, wheel, budget,
+                        stats)
     operators = Operators(config, core, workers, requests, frontend)
     upgrade = None
     if config.mgmt is not None and shared is not None:
--- a/beaconhinge/inventory.py
+++ b/beaconhinge/inventory.py
@@ -29,6 +29,7 @@
     version: int = 0
     full: bool = True
     hosts: list[Host] = field(default_factory=list)
+    unread: list[str] = field(default_factory=list)  # ids of entries that cannot be read; "" for one without
 
 
 def worker_number(host_id: str) -> int:
@@ -60,6 +61,8 @@
             try:
                 hosts.hosts.append(self._host(entry))
             except (AttributeError, KeyError, TypeError, ValueError, OverflowError) as error:
+                name = entry.get("id") if isinstance(entry, Mapping) else None
+                hosts.unread.append(name if isinstance(name, str) else "")
                 self.dropped(f"{type(error).__name__}: {error}")
         return hosts
 
--- /dev/null
+++ b/beaconhinge/membership.py
@@ -0,0 +1,121 @@
+"""When discovery is called, and which of its answers are taken. No I/O: time and chance are arguments.
+
+docs/design/membership.md tells what counts as told, and why each wait here is as short as it is. Times are
+seconds.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from ospreyroute.api import CHANGES, SNAPSHOT
+
+from .inventory import Hosts
+
+WAIT, WAIT_PART = 4.0, 0.4  # that a watch may wait for news, and that as a part of `mustAskIn` at most
+SILENT = 0.5  # beyond its wait after which a watch has fallen silent: 2 s after it that counts as told
+REST = 1.0  # from the first byte of an answer to its last: some never end
+ANSWER, ANSWER_MOST = 1.0, 3.2  # for a call that does not wait; doubled while calls fail, as queues grow
+AGENT_ANSWER, AGENT_MOST = 0.3, 1.2  # the same where an agent at hand has the list
+PAUSE = 0.05  # from an answer to the next call, of 0.2 allowed: bounds calls answered at once
+AGAIN_AGENT = 0.1  # between calls to an agent: what it gets counts as told at once
+AGAIN_SILENT = 0.5  # within which a call comes again that was to follow a silent watch
+SPREAD = 0.25  # for each dispatcher, over which they call again after a break that all saw
+SPREAD_MOST = 0.05  # the same, for the longest such time
+EARLY = 0.9  # part of its wait before which a watch's answer without news is not its own
+
+
+@dataclass(frozen=True, slots=True)
+class Call:
+    """One call: the whole list (no index), or what is newer than `index`."""
+
+    index: int | None
+    wait: float  # that discovery may wait for news
+    patience: float  # until the first byte of the answer
+
+
+@dataclass(frozen=True, slots=True)
+class Step:
+    """What follows from an answer: how it is told to the module (not at all if empty), whether the connection
+    may be used again, and the seconds until the next call.
+    """
+
+    how: str
+    keep: bool
+    pause: float = PAUSE
+
+
+class Following:
+    """One dispatcher's calls to its discovery, one after the other."""
+
+    def __init__(self, pushed: bool, group_size: int, must_ask_in: float, version: int | None) -> None:
+        self.pushed = pushed
+        # None: no list is known. 0 is a version like any other: taken for none, it once made each call ask
+        # for the whole list, one call right after the other, until discovery refused.
+        self.version = version
+        self._wait = min(WAIT, WAIT_PART * must_ask_in) if must_ask_in > 0 else WAIT
+        self._first = min(SPREAD * group_size, must_ask_in / 2)
+        self._longest = max(must_ask_in / 2, min(2 * must_ask_in, SPREAD_MOST * group_size))
+        self._whole = False  # all is to be asked for
+        self._doubted = False  # the last answer was older than the list in use
+        self._reread = False  # all was asked for once more since an entry could not be read
+        self._watching = False  # nothing is missed: the next call may wait
+        self._window = 0.0  # in which a call that has failed comes again; 0: none has
+        self._failures = 0
+        self._call = Call(None, 0.0, ANSWER)
+
+    def begin(self, version: int | None) -> None:
+        """Anew, with another discovery or another list, from no version or from this one."""
+        self.version = version
+        self._whole = self._doubted = self._watching = False
+        self._window, self._failures = 0.0, 0
+
+    def catch_up(self, whole: bool = False) -> None:
+        """The next call does not wait."""
+        self._watching, self._whole = False, self._whole or whole
+
+    @property
+    def failing(self) -> bool:
+        return self._failures > 0
+
+    def call(self) -> Call:
+        index = None if self._whole else self.version
+        wait = self._wait if self._watching and index is not None else 0.0
+        first, most = (AGENT_ANSWER, AGENT_MOST) if self.pushed else (ANSWER, ANSWER_MOST)
+        patience = wait + SILENT if wait else min(first * 2**min(self._failures, 8), most)
+        self._call = Call(index, wait, patience)
+        return self._call
+
+    def answered(self, hosts: Hosts, after: float) -> Step:
+        """An answer has come so many seconds after its call."""
+        call, known = self._call, self.version
+        self._window, self._failures = 0.0, 0
+        if known is not None and hosts.version < known and not (call.index is None and self._doubted):
+            # One answer behind, or discovery has begun anew: only all of it, twice on new connections, tells.
+            self._doubted = self._whole = True
+            return Step("", keep=False)
+        if call.index is None and not hosts.full:
+            return Step("", keep=False)  # not what was asked for
+        early = hosts.version == known and call.wait > 0 and after < EARLY * call.wait
+        if early:
+            return Step("", keep=False)  # said before: the own answer is still to come there
+        self.version, self._doubted = hosts.version, False
+        news = hosts.version != known or call.wait == 0  # an empty answer is news only to one who asked
+        self._whole = bool(hosts.unread) and not self._reread
+        self._reread = bool(hosts.unread)
+        self._watching = not self._whole
+        return Step((SNAPSHOT if hosts.full else CHANGES) if news else "", keep=True)
+
+    def failed(self, silent: bool, chance: float) -> float:
+        """A call has failed, `silent` if nothing came in time; the seconds until the next. `chance` is drawn
+        from 0 to 1.
+        """
+        watched, self._watching = self._call.wait > 0, False
+        self._failures += 1
+        if self.pushed:
+            return AGAIN_AGENT * (0.5 + chance)
+        if watched and silent:  # each watch ends at its own time, so that nobody comes in step
+            self._window = AGAIN_SILENT
+            return 0.0
+        self._window = min(2 * self._window, self._longest) if self._window else self._first
+        return self._window * chance
--- a/beaconhinge/net/discovery.py
+++ b/beaconhinge/net/discovery.py
@@ -1,9 +1,10 @@
-"""Discovery: the list of workers, asked for when the module says so, and then watched."""
+"""Discovery: the list of workers, fetched and watched as `beaconhinge/membership.py` decides."""
 
 from __future__ import annotations
 
 import asyncio
 import json
+import random
 from collections.abc import Callable
 
 from ospreyroute import api
@@ -11,6 +12,7 @@
 from ..config import Address, Config
 from ..core import Core
 from ..inventory import Hosts, Inventory, InventoryError
+from ..membership import REST, Call, Following
 from ..stats import Stats
 from ..wheel import Wheel
 from . import http1
@@ -18,10 +20,8 @@
 from .sockets import connect
 from .workers import Workers
 
-WATCH = 10.0  # seconds a watch may wait for news
-PAUSE = 0.05  # seconds from an answer to the next watch, of 0.2 allowed: bounds calls answered at once
-ANSWER = 2.0  # seconds beyond its wait after which a call has failed: what is told later counts as told then
-MAX_LIST = 16 * 1024 * 1024
+MAX_LIST = 2 * 1024 * 1024  # bytes: 1,024 workers take some 400 KiB, indented
+FIRST_LIST = 2.0  # seconds in which a start waits for an agent's first list before it says that it is ready
 
 
 class _Line:
@@ -37,39 +37,54 @@
 
 class Discovery:
     def __init__(self, config: Config, core: Core, workers: Workers, wheel: Wheel, stats: Stats) -> None:
-        self.config = config
         self.core = core
         self.workers = workers
         self.wheel = wheel
         self.stats = stats
-        # None: no list is known. 0 is a version like any other: taken for none, it once made each call ask
-        # for the whole list, one call right after the other, until discovery refused.
-        self.version: int | None = config.known.version if config.known else None
+        settings = config.settings
+        self.following = Following(not settings.subscribe, settings.group_size, settings.must_ask_in,
+                                   config.known.version if config.known else None)
         self.inventory = Inventory(config.zones, config.kinds,
                                    lambda why: stats.complain("list_entry_malformed", why=why))
         self.address = config.discovery
         self.known = config.known or Hosts()
-        self._wanted = False  # the module has subscribed
-        self._watch: asyncio.Task[None] | None = None
-        self._fetches: set[asyncio.Task[None]] = set()
         self.told: Callable[[str], None] = lambda how: None  # hears of each list
+        self._random = random.Random(config.seed)  # of its own: the module's draws stay as they are
+        self._watch: asyncio.Task[None] | None = None
+        self._heard = asyncio.Event()  # a call has been answered, or has failed
+        self._listed_at = self._began = wheel.now()
+        self._first = False  # a list has come
         core.owners[api.Subscribe] = self._subscribe
-        core.owners[api.Fetch] = lambda action: self._ask()
+        core.owners[api.Fetch] = lambda action: self._again(whole=True)
+
+    @property
+    def current(self) -> bool:
+        """Whether the list will do to begin with. What an agent has counts as told from the first moment."""
+        late = self.wheel.now() >= self._began + FIRST_LIST
+        return self._first or late or not self.following.pushed
+
+    @property
+    def version(self) -> int | None:
+        return self.following.version
 
     def remembered(self) -> None:
-        """The module's first list is the one in the configuration, however old, or what was inherited."""
+        """The module's first list is the one in the configuration, however old, or what was inherited. Where
+        lists are pushed the module asks for none: the agent's is fetched and watched all the same.
+        """
         self._tell(api.REMEMBERED, self.known)
+        if self.following.pushed:
+            self._again()
 
     def inherit(self, hosts: Hosts, here: bool) -> None:
         """The list that this dispatcher's other process has. Versions count for one discovery alone: `here`
         tells whether it was had from this one.
         """
         if not here:
-            self.version = None
+            self.following.begin(None)
         elif self.version is not None and self.version > hosts.version:
             return
         else:
-            self.version = hosts.version
+            self.following.begin(hosts.version)
         self.known = hosts
 
     def move(self, address: Address) -> None:
@@ -78,89 +93,87 @@
         """
         if address == self.address:
             return
-        self.address, self.version = address, None
-        if self._watch is not None:
-            self._watch.cancel()
-            self._watch = None
-        if self._wanted:  # at once: the module would ask again only when the old watch had failed
-            self._subscribe(api.Subscribe())
-        for fetch in list(self._fetches):
-            fetch.cancel()
-            self._ask()
+        self.address = address
+        self.following.begin(None)
+        if self._watch is not None:  # at once: the module would ask again only when the old watch had failed
+            self._again()
 
     def _subscribe(self, action: api.Subscribe) -> None:
-        self._wanted = action.on
-        if not action.on:
-            if self._watch is not None:
-                self._watch.cancel()
-        elif self._watch is None or self._watch.done():
-            self._watch = self.stats.spawn(self._follow(), "watch")
-
-    def _ask(self) -> None:
-        fetch = self.stats.spawn(self._fetch(), "fetch")
-        self._fetches.add(fetch)
-        fetch.add_done_callback(self._fetches.discard)
+        if self._watch is not None and not action.on:
+            self._watch.cancel()
+            self._watch = None
+        elif action.on and (self._watch is None or self._watch.done()):
+            self._again()
 
-    async def _follow(self) -> None:
-        """One call for what was missed, which answers at once, then one watch after the other."""
-        wait, line = 0.0, _Line()
-        try:
-            while True:
-                hosts = await self._since(line, wait)
-                if hosts.hosts or hosts.full or wait == 0.0:  # an empty answer is news only to one who asked
-                    self._tell(api.SNAPSHOT if hosts.full else api.CHANGES, hosts)
-                self.version, wait = hosts.version, WATCH
-                await asyncio.sleep(PAUSE)
-        except (OSError, Closed, BadMessage, InventoryError) as error:
-            self._failed(error)
-        finally:
-            line.drop()
+    def _again(self, whole: bool = False) -> None:
+        """Call now, and follow from there. One call at a time: no answer overtakes another."""
+        if self._watch is not None:
+            self._watch.cancel()
+        self.following.catch_up(whole)
+        self._watch = self.stats.spawn(self._follow(), "watch")
 
     async def refresh(self) -> None:
-        """Have what has changed at once, beside the watch. Returns when it is there, or cannot be had."""
+        """Have what has changed at once. Returns when it is there, or could not be had."""
+        self._heard.clear()
+        self._again()
+        await self._heard.wait()
+
+    async def _follow(self) -> None:
+        """One call after the other: what was missed, which is answered at once, then watches."""
         line = _Line()
         try:
-            hosts = await self._since(line, 0.0)
-            # The watch may have told more meanwhile, and its answers are older to it.
-            if self.version is None or hosts.version >= self.version:
-                self._tell(api.SNAPSHOT if hosts.full else api.CHANGES, hosts)
-        except (OSError, Closed, BadMessage, InventoryError) as error:
-            self.stats.complain("discovery_failed", why=f"{type(error).__name__}: {error}")
+            while True:
+                call, began = self.following.call(), self.wheel.now()
+                try:
+                    hosts = await self._call(line, call)
+                except (OSError, Closed, BadMessage, InventoryError) as error:
+                    line.drop()
+                    pause = self._failed(call, error)
+                else:
+                    pause = self._answered(line, hosts, self.wheel.now() - began)
+                self._heard.set()
+                await asyncio.sleep(pause)
         finally:
             line.drop()
 
-    async def _fetch(self) -> None:
-        line = _Line()  # of its own: a watch may hold the other
-        try:
-            self._tell(api.SNAPSHOT, await self._call(line, "", 0.0))
-        except (OSError, Closed, BadMessage, InventoryError) as error:
-            self._failed(error)
-        finally:
+    def _answered(self, line: _Line, hosts: Hosts, after: float) -> float:
+        if self.following.failing:
+            self.stats.log("discovery_back", list_age=self.wheel.now() - self._listed_at)
+        step = self.following.answered(hosts, after)
+        self._listed_at = self.wheel.now()
+        if not step.keep:
             line.drop()
+            self.stats.complain("list_out_of_turn", version=hosts.version, known=self.version)
+        if step.how:
+            self._first = True
+            self._tell(step.how, hosts)
+        return step.pause
+
+    def _failed(self, call: Call, error: Exception) -> float:
+        silent = isinstance(error, TimeoutError)
+        if silent and call.wait:
+            self.stats.complain("watch_silent", list_age=self.wheel.now() - self._listed_at)
+        else:
+            self.stats.complain("discovery_failed", why=f"{type(error).__name__}: {error}")
+        return self.following.failed(silent, self._random.random())
 
-    def _failed(self, error: Exception) -> None:
-        self.stats.complain("discovery_failed", why=f"{type(error).__name__}: {error}")
-        self.core.feed(api.Membership(api.REFUSED))
-
-    async def _since(self, line: _Line, wait: float) -> Hosts:
-        """What has changed, or the whole list where none is known."""
-        query = "" if self.version is None else f"?index={self.version}&wait={wait * 1000:.0f}"
-        return await self._call(line, query, wait)
-
-    async def _call(self, line: _Line, query: str, wait: float) -> Hosts:
+    async def _call(self, line: _Line, call: Call) -> Hosts:
         self.stats.count("discovery_calls")
-        try:
-            async with self.wheel.limit(wait + ANSWER):
-                if line.connection is None:
-                    sock = await connect(self.address)
-                    line.connection = Connection(sock, False, lambda: None, MAX_LIST)
-                await line.connection.send(
-                    http1.request("GET", f"/discovery/hosts{query}".encode(), {"Host": "discovery"}))
-                message = await line.connection.next()
-        except BaseException:
+        query = "" if call.index is None else f"?index={call.index}&wait={call.wait * 1000:.0f}"
+        if line.connection is not None and not line.connection.silent():
+            # A second answer to the call before: every later one would be taken for that of another call.
             line.drop()
-            raise
-        if not message.keep_alive or message.status != 200:
+            self.stats.count("discovery_spoke_unasked")
+        async with self.wheel.limit(call.patience):
+            if line.connection is None:
+                sock = await connect(self.address)
+                line.connection = Connection(sock, False, lambda: None, MAX_LIST)
+            await line.connection.send(
+                http1.request("GET", f"/discovery/hosts{query}".encode(), {"Host": "discovery"}))
+            await line.connection.begun()
+        async with self.wheel.limit(REST):
+            message = await line.connection.next()
+        if not message.keep_alive:
             line.drop()
         if message.status != 200:
             raise BadMessage(message.status, f"status {message.status}")
@@ -171,6 +184,8 @@
 
     def _tell(self, how: str, hosts: Hosts) -> None:
         self.stats.count("lists_" + how)
+        if hosts.full:  # who stands there in bytes that cannot be read has not left
+            hosts.hosts += self.workers.named(hosts.unread)
         self.workers.update(hosts)
         self.core.feed(api.Membership(how, hosts.version, [host.member for host in hosts.hosts]))
         self.told(how)
--- a/beaconhinge/net/http1.py
+++ b/beaconhinge/net/http1.py
@@ -51,6 +51,7 @@
         self.partial = False  # a message has begun and is not whole
         self.used_at = 0.0
         self._max_body = max_body
+        self._max_raw = max(MAX_MESSAGE, MAX_HEAD + 2 * max_body)
         self._closed = closed
         self._open = True
         self._hold = hold
@@ -146,7 +147,7 @@
             self._view = memoryview(self._buffer)
         if self._in_head and self._raw > MAX_HEAD:
             self._fail(431, f"head over {MAX_HEAD} bytes")
-        elif self._raw > MAX_MESSAGE:
+        elif self._raw > self._max_raw:
             self._fail(413, "message too long")
         elif len(self.inbox) > MAX_INBOX:
             self._fail(400, "too many requests sent ahead")
--- a/beaconhinge/net/workers.py
+++ b/beaconhinge/net/workers.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import json
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from typing import Any
 
 from ospreyroute import api
@@ -87,6 +87,15 @@
         worker = self.workers.get(worker_number(host_id))
         return worker is not None and worker.host.id == host_id
 
+    def named(self, host_ids: Iterable[str]) -> list[Host]:
+        """Those of them that are known."""
+        known = {worker.host.id: worker.host for worker in self.workers.values()}
+        return [known[host_id] for host_id in host_ids if host_id in known]
+
+    def _leaving(self, number: int) -> bool:
+        worker = self.workers.get(number)
+        return worker is None or worker.host.member.status != api.UP
+
     def hosts(self) -> list[Host]:
         return [worker.host for worker in self.workers.values()]
 
@@ -193,6 +202,9 @@
         idle_for = 0.0
         try:
             connection = await self._connection(carried.host)
+            if self._leaving(attempt.worker):  # the list told it while the connection came up
+                self.stats.count("sends_withheld")
+                raise Closed
             idle_for = self.wheel.now() - connection.used_at if connection.used_at else 0.0
             left = max(int((attempt.until - self.wheel.now()) * 1000), 1)
             headers = {"Host": SERVICE, "X-Request-ID": job.id, "X-Timeout-Ms": str(left),
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -72,13 +72,20 @@
         self.seen: asyncio.Queue[Seen] = asyncio.Queue()
         self.connections = 0
         self.ended: asyncio.Queue[bool] = asyncio.Queue()  # a connection closed by the dispatcher
+        self.open: set[asyncio.StreamWriter] = set()
 
     async def start(self) -> None:
         self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
         self.port = self.server.sockets[0].getsockname()[1]
 
+    def cut(self) -> None:
+        """Break all connections that are open."""
+        for writer in self.open:
+            writer.transport.abort()
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.connections += 1
+        self.open.add(writer)
         try:
             while True:
                 message = await read_message(reader)
@@ -90,6 +97,7 @@
         except (asyncio.IncompleteReadError, ConnectionError):
             self.ended.put_nowait(True)
         finally:
+            self.open.discard(writer)
             writer.close()
 
 
@@ -102,7 +110,7 @@
         self.ours = ours
         self.workers = [Peer(worker) for _ in range(workers)]
         self.discovery = Peer(self.list)
-        self.lists: list[dict[str, Any]] = []  # what further watches answer; then they wait
+        self.lists: list[dict[str, Any] | bytes] = []  # what further watches answer; then they wait
         self.changes = changes
         self.running: asyncio.Task[None]
         self.port = free_port()
@@ -110,7 +118,8 @@
 
     async def list(self, message: Seen) -> bytes | None:
         if self.lists:
-            return reply(200, json.dumps(self.lists.pop(0)).encode())
+            told = self.lists.pop(0)
+            return told if isinstance(told, bytes) else reply(200, json.dumps(told).encode())
         if "wait=0" not in message.start:
             await asyncio.Event().wait()
         return reply(200, json.dumps({"version": 0, "full": False, "servers": []}).encode())
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -3,18 +3,21 @@
 from __future__ import annotations
 
 import asyncio
+import json
+import socket
 
 import pytest
-from stage import Seen, Stage, play, reply
+from stage import SETTINGS, Seen, Stage, play, reply
 
 from beaconhinge.inventory import Inventory, InventoryError, worker_number
+from beaconhinge.net.sockets import connect
 from ospreyroute import api
 
 
 def test_a_list_of_version_0_is_watched_and_not_asked_for_again_and_again() -> None:
     async def story(scene: Stage) -> None:
         watch = await scene.discovery.seen.get()
-        assert watch.start == "GET /discovery/hosts?index=0&wait=10000 HTTP/1.1"
+        assert watch.start == "GET /discovery/hosts?index=0&wait=4000 HTTP/1.1"
         await asyncio.sleep(0.3)
         assert scene.discovery.seen.empty()
 
@@ -32,17 +35,26 @@
 
 def test_a_worker_that_drains_gets_nothing_new_and_a_bad_entry_costs_itself_alone() -> None:
     async def story(scene: Stage) -> None:
-        scene.lists = [{"version": 7, "full": False, "servers": [{"id": 5}, scene.host(0, state="Terminating")]}]
-        while "index=7" not in (await scene.discovery.seen.get()).start:
-            pass
+        bad, leaving, third = {"id": 5}, scene.host(0, state="Terminating"), {"id": "s-2", "state": "Odd"}
+        scene.lists = [{"version": 7, "full": False, "servers": [bad, leaving]},
+                       {"version": 7, "full": True, "servers": [leaving, scene.host(1), third]}]
+        while "wait" in (await scene.discovery.seen.get()).start:
+            pass  # all is asked for once more, as an entry could not be read, and then no more
+        assert "index=7&wait=4000" in (await scene.discovery.seen.get()).start
+        taken = set()
         for number in range(8):
             asked = asyncio.create_task(scene.post(X_Request_ID=f"r{number}"))
-            await scene.workers[1].seen.get()
-            await scene.news(1, id=f"r{number}", state="done", result="x")
+            waits = [asyncio.create_task(worker.seen.get()) for worker in scene.workers]
+            await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+            taker = next(n for n, wait in enumerate(waits) if wait.done())
+            for wait in waits:
+                wait.cancel()
+            taken.add(taker)
+            await scene.news(taker, id=f"r{number}", state="done", result="x")
             assert (await asked).status == 200
-        assert scene.workers[0].seen.empty()
+        assert taken == {1, 2}  # the third's entry could not be read either: it stays as it was
 
-    play(story, workers=2)
+    play(story, workers=3)
 
 
 HOST = {"id": "s-1", "addr": "127.0.0.1:9", "zone": "b", "kind": "k", "cell": 3, "state": "Ready", "weight": 1.0,
@@ -91,8 +103,8 @@
     play(story)
 
 
-def test_a_discovery_that_says_nothing_or_little_at_a_time_holds_up_no_job(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr("beaconhinge.net.discovery.ANSWER", 0.1)
+def test_a_discovery_that_says_nothing_holds_up_no_job_and_is_not_hammered(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("beaconhinge.membership.ANSWER", 0.1)
     calls = 0
 
     async def script(_message: Seen) -> bytes | None:
@@ -115,6 +127,168 @@
     play(story)
 
 
+# ---- what counts as told ----------------------------------------------------------------------------------
+
+
+async def next_call(scene: Stage, text: str) -> str:
+    while text not in (start := (await scene.discovery.seen.get()).start):
+        pass
+    return start
+
+
+async def serve_all(scene: Stage, worker: int) -> None:
+    """Some jobs, each of which this worker gets."""
+    for number in range(4):
+        asked = asyncio.create_task(scene.post(X_Request_ID=f"r{number}"))
+        await scene.workers[worker].seen.get()
+        await scene.news(worker, id=f"r{number}", state="done", result="x")
+        assert (await asked).status == 200
+
+
+def changes(version: int, *servers: dict[str, object], full: bool = False) -> bytes:
+    return reply(200, json.dumps({"version": version, "full": full, "servers": servers}).encode())
+
+
+@pytest.mark.parametrize("pushed", [True, False])
+def test_a_watch_that_falls_silent_is_opened_anew_before_what_it_misses_counts_as_told(
+    pushed: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """It was given up just as that counted as told, 2 s after its wait, and asked for anew at random after."""
+    monkeypatch.setattr("beaconhinge.membership.WAIT", 0.5)  # the part beyond it stays as it is
+
+    async def story(scene: Stage) -> None:
+        loop = asyncio.get_running_loop()
+        opened = 0.0
+
+        async def script(message: Seen) -> bytes | None:
+            nonlocal opened
+            if "wait=500" in message.start and not opened:
+                opened = loop.time()
+                await asyncio.Event().wait()  # silent, while worker 0 begins to drain
+            return changes(1, scene.host(0, state="Terminating")) if opened else changes(0)
+
+        scene.discovery.script = script
+        await next_call(scene, "wait=500")
+        start = await next_call(scene, "index=0&wait=0")
+        assert 0.5 <= loop.time() - opened < 0.5 + 2.0 - 0.5  # and time for a second try
+        assert start
+        await asyncio.sleep(0.1)
+        await serve_all(scene, 1)
+        assert scene.workers[0].seen.empty()
+
+    settings = {**SETTINGS, "membershipMode": "pushed" if pushed else "on_request"}
+    play(story, workers=2, settings=settings)
+
+
+def test_where_lists_are_pushed_the_agent_is_asked_from_the_first_moment_and_at_its_return() -> None:
+    """The module subscribes to nothing there, so that the program lived on its remembered list for ever."""
+
+    async def story(scene: Stage) -> None:
+        await next_call(scene, "wait=4000")
+        out, served = asyncio.Event(), asyncio.Event()
+
+        async def script(message: Seen) -> bytes | None:
+            if not out.is_set():
+                return None  # the agent is away
+            if served.is_set():
+                await asyncio.Event().wait()
+            served.set()
+            return changes(1, scene.host(0, state="Terminating"))
+
+        scene.discovery.script = script
+        scene.discovery.cut()
+        for _ in range(3):  # again and again, and soon
+            async with asyncio.timeout(0.4):
+                await scene.discovery.seen.get()
+        out.set()
+        async with asyncio.timeout(0.4):
+            await served.wait()
+        await next_call(scene, "index=1")
+        await serve_all(scene, 1)
+        assert scene.workers[0].seen.empty()
+
+    play(story, workers=2, settings={**SETTINGS, "membershipMode": "pushed"})
+
+
+def test_where_lists_are_pushed_a_start_is_ready_with_the_agents_list_and_not_before(
+    monkeypatch: pytest.MonkeyPatch
+) -> None:
+    held = asyncio.Event()
+
+    async def script(scene: Stage, message: Seen) -> bytes | None:
+        await held.wait()
+        if "wait=4000" in message.start:
+            await asyncio.Event().wait()
+        return changes(1, scene.host(1), full=True)
+
+    async def story(scene: Stage) -> None:
+        assert (await scene.ask(b"GET /up HTTP/1.1\r\n\r\n")).status == 503
+        held.set()
+        await next_call(scene, "wait=4000")
+        assert (await scene.ask(b"GET /up HTTP/1.1\r\n\r\n")).status == 200
+        await serve_all(scene, 1)
+        assert scene.workers[0].seen.empty()
+
+    monkeypatch.setattr(Stage, "list", script)
+    play(story, workers=2, settings={**SETTINGS, "membershipMode": "pushed"})
+
+
+def test_a_connection_that_comes_up_late_brings_nothing_to_a_worker_that_drains_by_then(
+    monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Within `connectTimeout` a drain may be told and its grace be over."""
+    up = asyncio.Event()
+    begun: asyncio.Queue[int] = asyncio.Queue()
+
+    async def late(address: tuple[str, int]) -> socket.socket:
+        begun.put_nowait(address[1])
+        await up.wait()
+        return await connect(address)
+
+    async def story(scene: Stage) -> None:
+        monkeypatch.setattr("beaconhinge.net.workers.connect", late)
+        asked = asyncio.create_task(scene.post())
+        leaving = [worker.port for worker in scene.workers].index(await begun.get())
+        scene.lists = [changes(3, scene.host(leaving, state="Terminating"))]
+        scene.discovery.cut()
+        await next_call(scene, "index=3")
+        monkeypatch.setattr("beaconhinge.net.workers.connect", connect)
+        up.set()
+        await scene.workers[1 - leaving].seen.get()  # proven never to have run, so it goes on
+        await scene.news(1 - leaving, state="done", result="x")
+        assert (await asked).status == 200
+        assert scene.workers[leaving].seen.empty()
+
+    limits = {**SETTINGS["policyLimits"], "connectTimeout": 5.0}
+    play(story, workers=2, settings={**SETTINGS, "policyLimits": limits})
+
+
+@pytest.mark.parametrize("wrong", ["again", "older"])
+def test_a_second_answer_puts_no_leaving_worker_back_and_is_taken_for_no_later_calls(wrong: str) -> None:
+    """It came on the kept connection, and each answer from then on was read as that of the next call."""
+
+    async def story(scene: Stage) -> None:
+        ready, leaving = changes(1, scene.host(0)), changes(2, scene.host(0, state="Terminating"))
+        calls = 0
+
+        async def script(message: Seen) -> bytes | None:
+            nonlocal calls
+            calls += 1
+            if calls == 1:
+                return leaving + (leaving if wrong == "again" else ready)
+            if "wait=4000" in message.start:
+                await asyncio.Event().wait()
+            return changes(2, scene.host(0, state="Terminating"), scene.host(1), full=True)
+
+        scene.discovery.script = script
+        scene.discovery.cut()
+        await next_call(scene, "index=2&wait=4000")
+        await serve_all(scene, 1)
+        assert scene.workers[0].seen.empty() and scene.discovery.seen.empty()
+
+    play(story, workers=2)
+
+
 def test_the_order_of_a_list_means_nothing_and_an_older_whole_list_is_what_discovery_says() -> None:
     from helpers import members, started
 
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -38,14 +38,14 @@
         scene.discovery.script, moved = old, Peer(new)
         await moved.start()
         scene.lists = []
-        while "wait=10000" not in (await scene.discovery.seen.get()).start:
+        while "wait=4000" not in (await scene.discovery.seen.get()).start:
             pass
         asked = asyncio.create_task(scene.post())  # in work while all this happens
         taker = await asyncio.wait_for(next_of(scene), 5)
         scene.reload(discovery=f"127.0.0.1:{moved.port}")
         # Versions of the old discovery mean nothing to the new one: the whole list is asked for, then watched.
         assert (await moved.seen.get()).start == "GET /discovery/hosts HTTP/1.1"
-        assert (await moved.seen.get()).start == "GET /discovery/hosts?index=3&wait=10000 HTTP/1.1"
+        assert (await moved.seen.get()).start == "GET /discovery/hosts?index=3&wait=4000 HTTP/1.1"
         late.set()
         assert await scene.discovery.ended.get()
         for number in range(5):
@@ -72,7 +72,7 @@
     changes: dict[str, Any], key: str, capfd: pytest.CaptureFixture[str]
 ) -> None:
     async def story(scene: Stage) -> None:
-        while "wait=10000" not in (await scene.discovery.seen.get()).start:
+        while "wait=4000" not in (await scene.discovery.seen.get()).start:
             pass
         scene.reload(**changes)
         await serves(scene, 0, "r1")
