--- a/beaconhinge/standin/fleet/boxes.py
+++ b/beaconhinge/standin/fleet/boxes.py
@@ -65,7 +65,7 @@
     paused_until: float = 0.0
     slowed: float = 1.0  # pace beside its own, while something that all share is short
     silent: bool = False  # nothing comes in and nothing goes out, though it works on
-    hung: bool = False  # it takes connections and does nothing more
+    hung: bool = False  # it takes jobs, and never starts or ends one
     running: list[Attempt] = field(default_factory=list)
     queue: deque[Attempt] = field(default_factory=deque)
     spent: float = 0.0  # work done
@@ -153,8 +153,8 @@
     # ---- what happens to it --------------------------------------------------------------------------------
 
     def arrive(self, attempt: Attempt) -> None:
-        if not attempt.open or not self.reachable:
-            return  # given up, or lost on the way: its sender finds out by time
+        if not attempt.open or not self.reachable or self.hung:
+            return  # given up, lost on the way, or taken for ever: its sender finds out by time
         if self.state != api.UP or len(self.queue) >= QUEUE_PER_CORE * self.of.cores:
             self.tell.ended(attempt, api.FULL, self.load)
         elif self.fails_fast:
--- a/beaconhinge/standin/fleet/world.py
+++ b/beaconhinge/standin/fleet/world.py
@@ -226,7 +226,7 @@
                     self.clock.after(self.random.uniform(*PEER_HOP), partial(self.feed, other, message))
 
     def _apart(self, node: Node, box: Box) -> bool:
-        return box.silent or box.hung or node.zone != box.zone and self.clock.now < self.split_until
+        return box.silent or node.zone != box.zone and self.clock.now < self.split_until
 
     # ---- attempts ------------------------------------------------------------------------------------------
 
--- a/ospreyroute/decide.py
+++ b/ospreyroute/decide.py
@@ -687,7 +687,7 @@
         if outcome == api.RESET:
             # One may break while the worker serves the others: two without a sign between them are its fault.
             failed, worker.broke_at = worker.last_sign <= worker.broke_at, self.now
-        if failed or outcome == api.TIMEOUT and unheard and age > self.job_time:
+        if failed or outcome in (api.TIMEOUT, api.CANCELLED) and unheard and age > self.job_time:
             self.blame(worker, BLAME)
         worker.idle = [] if outcome == api.RESET else worker.idle
 
