--- a/beaconhinge/standin/fleet/world.py
+++ b/beaconhinge/standin/fleet/world.py
@@ -336,7 +336,8 @@
         wish.tries += 1
         self.count["tries"] += 1
         repeat = wish.tries > 1
-        node = self.random.choice([n for n in self.nodes if n.zone == wish.zone and n.admitted])
+        admitted = [n for n in self.nodes if n.admitted] or self.nodes
+        node = self.random.choice([n for n in admitted if n.zone == wish.zone] or admitted)
         left = wish.sort.deadline - (self.clock.now - wish.at)
         if not node.up or left <= 0:
             self._answer(wish, "failed", 0.0)
