--- a/beaconhinge/net/discovery.py
+++ b/beaconhinge/net/discovery.py
@@ -21,7 +21,7 @@
 from .workers import Workers
 
 MAX_LIST = 2 * 1024 * 1024  # bytes: 1,024 workers take some 400 KiB, indented
-FIRST_LIST = 2.0  # seconds in which a start waits for an agent's first list before it says that it is ready
+FIRST_LIST = 5.0  # seconds in which a start waits for an agent's first list before it says that it is ready
 
 
 class _Line:
--- a/beaconhinge/standin/boxes.py
+++ b/beaconhinge/standin/boxes.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import random
+import time
 from collections import Counter
 from collections.abc import Mapping
 from functools import partial
@@ -49,6 +50,7 @@
         self.held: dict[tuple[int, str], asyncio.Task[None]] = {}  # by port of the dispatcher, and request
         self.runs: Counter[str] = Counter()  # by idempotency key, or by request where it has none
         self.counters: Counter[str] = Counter()
+        self.taken: list[tuple[float, int]] = []  # when each job came, and the port of its dispatcher
         self._free = asyncio.Semaphore(slots)
 
     def door(self, dispatcher: int) -> Server:
@@ -84,6 +86,7 @@
             self.counters["turned_away"] += 1
             return http1.response(503, headers={"X-Not-Processed": "1"})
         self.counters["taken"] += 1
+        self.taken.append((time.monotonic(), back.port))
         key = message.headers.get("idempotency-key", "")
         if key and self.rack is not None and self.rack.drops(key, asyncio.get_running_loop().time()):
             self.counters["dropped"] += 1
--- a/beaconhinge/standin/rig/play.py
+++ b/beaconhinge/standin/rig/play.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import math
 import shutil
 import signal
 import socket
@@ -36,6 +37,8 @@
 AFTER = 0.5  # seconds after the last fault from which on service is judged
 FIRST = 5.0  # seconds after it, in which who gets what is judged
 HELD_AGAIN = 3.0  # spans after the last fault, and a second, by which a lease has a holder again
+SILENT_TOLD = 6.0  # seconds after which what a silent watch misses counts as told
+DRAIN_GRACE = 0.45  # seconds in which sends to a leaving box have to stop, with the slack of the page
 ORPHANED = 2.0  # seconds after a return, when jobs of the old life are counted that boxes still run
 
 
@@ -46,6 +49,9 @@
         self.events: list[str] = []
         self.hits: Counter[str] = Counter()
         self.statuses: list[int] = []
+        self._drains: list[tuple[Box, float, float]] = []  # from when to when
+        self._silent: dict[int, float] = {}  # when the watch of a dispatcher fell silent
+        self._away: dict[int, list[tuple[float, float]]] = {}  # spans in which its discovery was out
         self.orphans = 0
         self.acts: list[Act] = []
         self.leases = [f"export-{number}" for number in range(story.leases)]
@@ -78,7 +84,8 @@
                    {"name": "south", "share": 0.15, "quotaRps": self.story.quota_rps}]
         settings = {**SETTINGS, "orgs": tenants, "groupSize": self.story.processes, "myNumber": number,
                     "policyLimits": limits, "clients": {"marksRetry": True},
-                    "rules": {"mustAskIn": 10.0, "graceToAnswer": 0.008}}
+                    "rules": {"mustAskIn": 10.0, "graceToAnswer": 0.008},
+                    "membershipMode": "pushed" if self.story.pushed else "on_request"}
         return {"name": f"n{number}", "listen": f"127.0.0.1:{port}", "seed": self.story.seed * 1000 + number,
                 "settings": settings, "discovery": self.lists[number].server.address,
                 "known": self.lists[number].whole(), "peer_listen": f"{listen[0]}:{listen[1]}",
@@ -159,7 +166,8 @@
         who = self.story.hit(fault)
         self._say(f"{fault.what} {','.join(map(str, who))} for {fault.for_s:g} s")
         play = {"stop": self._stop, "kill": self._restart, "term": self._restart, "cut": self._drop,
-                "lossy": self._drop, "discovery": self._no_discovery}[fault.what]
+                "lossy": self._drop, "discovery": self._no_discovery, "mute": self._mute,
+                "drain": self._drain}[fault.what]
         self.hits[fault.what] += await play(fault, who)
         self._say(f"{fault.what} {','.join(map(str, who))} is over")
 
@@ -210,15 +218,56 @@
 
     async def _no_discovery(self, fault: Fault, who: list[int]) -> int:
         """The calls that it met."""
-        lists = [self.lists[n] for n in who]
+        lists, began = [self.lists[n] for n in who], time.monotonic()
         before = sum(found.calls for found in lists)
         for found in lists:
-            found.out = True
+            found.go()
         await asyncio.sleep(fault.for_s)
         for found in lists:
             found.out = False
+        for number in who:
+            self._away.setdefault(number, []).append((began, time.monotonic()))
         return sum(found.calls for found in lists) - before
 
+    async def _mute(self, fault: Fault, who: list[int]) -> int:
+        """The watches that fell silent."""
+        self._silent.update(dict.fromkeys(who, time.monotonic()))
+        hit = sum(self.lists[n].mute() for n in who)
+        await asyncio.sleep(fault.for_s)
+        return hit
+
+    async def _drain(self, fault: Fault, who: list[int]) -> int:
+        """The boxes that began to drain. They take what still comes, so that it can be counted."""
+        leaving = self.boxes[: fault.boxes]
+        began = time.monotonic()
+        for box in leaving:
+            for found in self.lists:
+                found.change(box.name, state="Terminating")
+        await asyncio.sleep(fault.for_s)
+        self._drains += [(box, began, time.monotonic()) for box in leaving]
+        for box in leaving:
+            for found in self.lists:
+                found.change(box.name, state="Ready")
+        return len(leaving)
+
+    def _sent_to_leaving(self) -> list[str]:
+        """Jobs that came to a box later than its dispatcher has after it counts as told, or is back from a
+        stop, and until the box was put back.
+        """
+        found = []
+        for process in self.processes:
+            away = [*process.stood, *self._away.get(process.number, [])]
+            for box, began, ended in self._drains:
+                told = began
+                if began >= (silent := self._silent.get(process.number, math.inf)):
+                    told = max(told, silent + SILENT_TOLD)
+                told = max([told, *(end for start, end in away if start <= told < end)])
+                late = [at - told - DRAIN_GRACE for at, port in box.taken
+                        if port == process.port and told + DRAIN_GRACE < at < ended]
+                if late:
+                    found.append(f"dispatcher {process.number} sent to {box.name}, {late[-1]:.2f} s too late")
+        return found
+
     # ---- the verdict ---------------------------------------------------------------------------------------
 
     def _verdict(self) -> Verdict:
@@ -249,6 +298,7 @@
         broken += ["no fault hit anything"] if story.drawn and not self.hits.total() else []
         broken += [f"the fault {kind} hit nothing" for kind in sorted(kinds) if not self.hits[kind]]
         broken += collisions(self.acts)
+        broken += self._sent_to_leaving()
         since, by = self.began + last, self.began + last + HELD_AGAIN * story.span_s + 1
         broken += [f"nobody acted under lease {lease} in time after the last fault" for lease in self.leases
                    if not any(since < act.begin <= by for act in self.acts if act.lease == lease)]
--- a/beaconhinge/standin/rig/story.py
+++ b/beaconhinge/standin/rig/story.py
@@ -24,15 +24,17 @@
 class Fault(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """`stop`: SIGSTOP, and SIGCONT after `for_s`. `kill`, `term`: that signal, and a start again after
     `for_s`, with the same or an empty folder. `cut`: datagrams from `who` to `to` are dropped. `lossy`: a
-    `part` of all datagrams of `who` is lost, and as many come twice. `discovery`: it is out.
+    `part` of all datagrams of `who` is lost, and as many come twice. `discovery`: it is out. `mute`: the
+    watches of `who` that are open then fall silent for good. `drain`: so many `boxes` drain for `for_s`.
     """
 
     at_s: float
-    what: Literal["stop", "kill", "term", "cut", "lossy", "discovery"]
+    what: Literal["stop", "kill", "term", "cut", "lossy", "discovery", "mute", "drain"]
     for_s: float
     who: list[int] = []  # dispatchers, by number; none: all of them
     to: list[int] = []  # for `cut`; none: all of them
     part: float = 0.5  # for `lossy`
+    boxes: int = 1  # for `drain`
     folder: Literal["same", "empty", "other", "old"] = "same"  # `other`: a copy; `old`: as before the story
 
 
@@ -54,6 +56,7 @@
     quota_rps: float = 10.0  # of a second tenant, and how many times that it asks for, in `render`
     greedy: float = 0.0
     recovery: bool = True
+    pushed: bool = False  # whether an agent of each dispatcher has the list, and what it has counts as told
     store: bool = True  # whether dispatchers keep one in their folder
     stall_s: float = 1.0
     leases: int = 0  # so many, each with a call every `act_s` to a resource that writes down who acts
@@ -78,6 +81,8 @@
         for number, fault in enumerate(self.faults):
             if not (0 <= fault.at_s <= self.seconds and 0 < fault.for_s <= MOST_SECONDS):
                 return f"faults[{number}]: at_s must lie within the story, for_s be more than 0"
+            if not 1 <= fault.boxes < self.boxes:
+                return f"faults[{number}]: boxes must be between 1 and {self.boxes - 1}"
             if not all(0 <= n < self.processes for n in fault.who + fault.to):
                 return f"faults[{number}]: there are dispatchers 0 to {self.processes - 1}"
         return None
