--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -33,6 +33,16 @@
     play(story)
 
 
+async def taker(scene: Stage) -> int:
+    """The number of the worker that gets the next job."""
+    waits = [asyncio.create_task(worker.seen.get()) for worker in scene.workers]
+    await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+    who = next(n for n, wait in enumerate(waits) if wait.done())
+    for wait in waits:
+        wait.cancel()
+    return who
+
+
 def test_a_worker_that_drains_gets_nothing_new_and_a_bad_entry_costs_itself_alone() -> None:
     async def story(scene: Stage) -> None:
         bad, leaving, third = {"id": 5}, scene.host(0, state="Terminating"), {"id": "s-2", "state": "Odd"}
@@ -44,13 +54,8 @@
         taken = set()
         for number in range(8):
             asked = asyncio.create_task(scene.post(X_Request_ID=f"r{number}"))
-            waits = [asyncio.create_task(worker.seen.get()) for worker in scene.workers]
-            await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
-            taker = next(n for n, wait in enumerate(waits) if wait.done())
-            for wait in waits:
-                wait.cancel()
-            taken.add(taker)
-            await scene.news(taker, id=f"r{number}", state="done", result="x")
+            taken.add(who := await taker(scene))
+            await scene.news(who, id=f"r{number}", state="done", result="x")
             assert (await asked).status == 200
         assert taken == {1, 2}  # the third's entry could not be read either: it stays as it was
 
@@ -289,6 +294,35 @@
     play(story, workers=2)
 
 
+@pytest.mark.parametrize("wrong", [
+    b"HTTP/1.1 200 X\r\nContent-Length: 400\r\n\r\n{\"version\": 8, \"full\": true, \"servers\": [",
+    b"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n5\r\n{    \r\n", b"HTTP/1.1 200 X\r\nX-"])
+def test_an_answer_that_never_ends_costs_that_call_alone(wrong: bytes, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("beaconhinge.net.discovery.REST", 0.1)
+
+    async def story(scene: Stage) -> None:
+        calls = 0
+
+        async def script(message: Seen) -> bytes | None:
+            nonlocal calls
+            calls += 1
+            if calls == 1:
+                return wrong
+            if "wait=4000" in message.start:
+                await asyncio.Event().wait()
+            return changes(8, scene.host(0, state="Terminating"))
+
+        scene.discovery.script = script
+        scene.discovery.cut()
+        asked = asyncio.create_task(scene.post(X_Request_ID="first"))  # served by the list in use meanwhile
+        await scene.news(await taker(scene), id="first", state="done", result="x")
+        assert (await asked).status == 200
+        await next_call(scene, "index=8")
+        await serve_all(scene, 1)
+
+    play(story, workers=2)
+
+
 def test_the_order_of_a_list_means_nothing_and_an_older_whole_list_is_what_discovery_says() -> None:
     from helpers import members, started
 
