--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -238,6 +238,22 @@
     play(story, workers=2, settings={**SETTINGS, "membershipMode": "pushed"})
 
 
+def test_a_start_without_its_agent_is_ready_after_a_while_with_the_list_that_it_has(
+    monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def script(scene: Stage, message: Seen) -> bytes | None:
+        return None  # away, for longer than anybody waits
+
+    async def story(scene: Stage) -> None:
+        while (await scene.ask(b"GET /up HTTP/1.1\r\n\r\n")).status == 503:
+            await asyncio.sleep(0.02)
+        await serve_all(scene, 0)
+
+    monkeypatch.setattr(Stage, "list", script)
+    monkeypatch.setattr("beaconhinge.net.discovery.FIRST_LIST", 0.3)
+    play(story, settings={**SETTINGS, "membershipMode": "pushed"})
+
+
 def test_a_connection_that_comes_up_late_brings_nothing_to_a_worker_that_drains_by_then(
     monkeypatch: pytest.MonkeyPatch
 ) -> None:
