--- a/beaconhinge/standin/fleet/plan.py
+++ b/beaconhinge/standin/fleet/plan.py
@@ -106,6 +106,7 @@
     calls_a_second: float = 6.0  # that discovery answers
     trouble: str = ""  # one of TROUBLES
     at: float = 6.0  # when it begins
+    lost_for: float = 6.3  # seconds that a zone is lost
 
     def __post_init__(self) -> None:
         if self.trouble not in TROUBLES:
--- a/beaconhinge/standin/fleet/world.py
+++ b/beaconhinge/standin/fleet/world.py
@@ -26,7 +26,7 @@
 RESTART = (1.7, 1.8)
 CUT = 2.5  # seconds that the zones' dispatchers do not hear each other
 SPLIT, LATE_LIST = 6.0, 7.0  # seconds that a part is cut off, and that lists come late then
-SILENT, DRAINED, HUNG = 0.2, 0.25, 0.3  # parts of the boxes
+SILENT, DRAINED, HUNG, LOST = 0.2, 0.25, 0.3, 0.3  # parts of the boxes
 BURST, SLOWED, CAUSE = 1.5, 0.6, 5.0  # times the traffic, times the pace of each box, for so many seconds
 GRACE = 0.05  # seconds, as the rules have them on sockets
 OWN_WORD = (api.NO_CONNECTION, api.TIMEOUT, api.CANCELLED)  # outcomes that a dispatcher finds by itself
@@ -211,6 +211,9 @@
                 self._ended(node.requests[action.request].attempts[action.attempt], api.CANCELLED, None)
             case api.Tell():
                 self._tell(node, action)
+            case api.Probe():
+                self.count["probes"] += 1
+                self._probe(node, self.boxes[action.worker])
             case api.Subscribe():
                 self.discovery.call(node.number, node.version)
 
@@ -225,6 +228,11 @@
                     message = api.PeerMessage(node.number, action.payload)
                     self.clock.after(self.random.uniform(*PEER_HOP), partial(self.feed, other, message))
 
+    def _probe(self, node: Node, box: Box) -> None:
+        if box.reachable and not box.hung and not self._apart(node, box):
+            told = api.ProbeResult(box.id, api.SERVED, 0.001, box.load)
+            self.clock.after(2 * self._hop(), partial(self.feed, node, told))
+
     def _apart(self, node: Node, box: Box) -> bool:
         return box.silent or node.zone != box.zone and self.clock.now < self.split_until
 
@@ -424,12 +432,14 @@
     def _lose_zone(self) -> None:
         """A zone is cut off, listed as gone seconds later, and comes back cold."""
         lost = [box for box in self.boxes.values() if box.zone == 1]
+        if self.plan.site.zones == 1:
+            lost = self.random.sample(list(self.boxes.values()), max(1, round(LOST * len(self.boxes))))
         for box in lost:
             box.lose()
         for wave in range(3):
             part = lost[wave::3]
             self.clock.after(3.0 + 0.4 * wave, partial(self._publish, part, api.GONE))
-            self.clock.after(6.3 + 0.35 * wave, partial(self._come_back, part))
+            self.clock.after(self.plan.lost_for + 0.35 * wave, partial(self._come_back, part))
 
     def _come_back(self, boxes: list[Box]) -> None:
         for box in boxes:
--- a/ospreyroute/decide.py
+++ b/ospreyroute/decide.py
@@ -8,13 +8,13 @@
 import random
 from bisect import insort
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from statistics import median
 from typing import ClassVar
 
 from . import api, peerwire
-from .fleet import MEMORY, Fleet, Reported, smooth
+from .fleet import MEMORY, Fleet, Reported, max_min, smooth
 
 INF = float("inf")
 TICK, REPORT = 1, 2  # timers: housekeeping and peer report
@@ -34,6 +34,7 @@
 UNFILLED = 0.75  # a worker 'full' with less than this of its slots out is at fault, not the load
 SAMPLE = 40  # workers looked at for a job in a large group, besides those that answered last
 SCANNED = 32  # held jobs looked at when a slot falls free; bounds the work of one event
+ASKED, TOLD = 3, 100.0  # workers asked for a job how full they are, and how much likelier one is that told
 RESERVE = 1.0  # slots a worker keeps free of over-quota jobs, by how little those are worth
 LIMIT = 2.0  # slots that a worker is taken to have before any of its kind has taught better
 PROMPT = 0.05  # seconds from a send to its start within which a slot was free
@@ -210,8 +211,7 @@
 
     def on_membership(self, event: api.Membership) -> None:
         if event.how == api.REFUSED:
-            # Watches end together, and calls given up still cost discovery work: asked again within a short
-            # time by all, it answered none of them any more. So each waits anywhere in a wide window.
+            # Asked again by all within a short time it answered none of them: each waits in a wide window.
             self.ask_at = self.now + self.ask_within * self.random.random()
             self.ask_within = min(2 * self.ask_within, 2 * self.settings.must_ask_in)
             return
@@ -224,8 +224,7 @@
         for m in event.members:
             worker = self.workers.setdefault(m.worker, _Worker(m.worker, peerwire.key(m.worker)))
             if m.started_at > worker.started_at:  # its past is void
-                worker.fail, worker.trial, worker.benched_until = 0.0, False, 0.0
-                worker.bench_over = 0.0
+                worker.fail, worker.trial, worker.benched_until, worker.bench_over = 0.0, False, 0.0, 0.0
             worker.kind, worker.cell, worker.zone = m.kind, m.cell, m.zone
             worker.started_at = max(m.started_at, worker.started_at)
             worker.up = m.status == api.UP
@@ -237,8 +236,7 @@
 
     def on_maintenance(self, event: api.Maintenance) -> None:
         """Out by hand, a worker is as one that drains. Back, its past is void and it counts as cold: the list
-        may not have told yet of a restart meanwhile.
-        """
+        may not have told yet of a restart meanwhile."""
         worker = self.workers.setdefault(event.worker, _Worker(event.worker, peerwire.key(event.worker)))
         if event.out:
             self.by_hand.setdefault(worker.id, worker.started_at)
@@ -306,7 +304,8 @@
             return
         bucket.tokens -= cost
         bucket.allowed += cost
-        self.place(request)
+        if not self.ask_round(request):
+            self.place(request)
 
     def refill(self) -> None:
         passed = self.now - self.refilled
@@ -353,9 +352,8 @@
 
     def divide(self, demand: dict[tuple[int, int], float]) -> None:
         """Fleet rate to tenants by told shares, unused share lent; their parts to dispatchers by demand."""
-        for bucket in self.buckets.values():
-            if self.rate == INF or bucket.rate == INF:
-                bucket.rate, bucket.tokens = INF, 0.0
+        for bucket in [b for b in self.buckets.values() if INF in (self.rate, b.rate)]:
+            bucket.rate, bucket.tokens = INF, 0.0
         if self.rate == INF:
             return
         wanted = [sum(rate for key, rate in demand.items() if key[0] == t) for t in range(len(self.quota))]
@@ -400,8 +398,7 @@
             if isinstance(word, peerwire.Report):
                 self.limits = {**dict(word.limits), **self.limits}
                 continue
-            worker = self.by_key.get(word.key)
-            if worker is None:
+            if (worker := self.by_key.get(word.key)) is None:
                 continue
             worker.low = min(worker.low, self.out(worker))
             for _ in range(word.failures):
@@ -412,6 +409,15 @@
 
     # ---- placement ----------------------------------------------------------------------------------------
 
+    def ask_round(self, request: _Request) -> bool:
+        """Where nobody tells of others' jobs some workers are asked how full they are; the job waits."""
+        pool = self.pool.get(request.cls.kind, []) if self.seen and self.settings.probes else []
+        asked = [w for w in self.random.sample(pool, min(ASKED, len(pool))) if self.able(w, request)]
+        self.actions += [api.Probe(w.id) for w in asked]
+        if asked:
+            self.hold(request)
+        return bool(asked)
+
     def place(self, request: _Request) -> None:
         worker = self.choose(request)
         if worker is not None:
@@ -425,8 +431,7 @@
         """A random ready worker of the class's kind, likelier with more room for its pace.
 
         With no room anywhere each dispatcher has its part of a full worker by demand, lest who holds its
-        slots keep refilling them; where that part is less than a job, the job waits for a slot.
-        """
+        slots keep refilling them; where that part is less than a job, the job waits for a slot."""
         pool = self.pool.get(request.cls.kind, [])
         if len(pool) > 2 * SAMPLE:  # as good as all of them, at a cost that does not grow
             own = (w for w in self.recent if w.listed and request.cls.kind in (-1, w.kind))
@@ -451,8 +456,9 @@
             pace = (worker.pace or self.pace or 1.0) / speed**2  # what has slowed down slows on
             if room > 0:
                 ready.append(worker)
-                home = worker.zone == self.settings.zone
-                weights.append(room * share / pace * ((1 + kept * self.has_idle(worker)) * (1 + near * home)))
+                home = 1 + near * (worker.zone == self.settings.zone)
+                told = TOLD if self.seen and self.seen.fresh(self.now, worker.key) else 1.0
+                weights.append(room * share / pace * told * home * (1 + kept * self.has_idle(worker)))
             elif not worker.trial and not request.over:
                 if self.limit(worker) * self.part + 0.5 - worker.out >= request.slots:
                     rest.append(worker)
@@ -480,8 +486,8 @@
 
     def look_round(self) -> None:
         if self.many:
-            # Many see the same free slot and hear late of each other's claims on it: while slots are scarce
-            # each claims by chance, so that about one does. Slots that own jobs leave are claimed at once.
+            # Many see the same free slot and hear late of claims on it: while slots are scarce each claims
+            # by chance, so that about one does. Slots that own jobs leave are claimed at once.
             room = sum(max(0.0, self.limit(w) - self.out(w)) for w in self.pool[-1]
                        if not w.trial and not self.cold(w))
             self.chance = min(1.0, CLAIM * room / max(self.send_rate * UNHEARD, 1.0))
@@ -567,9 +573,8 @@
             return True
         if cls.semantics == api.FRAGILE or self.now >= first.sent_at + cls.dedup_window:
             return False
-        if cls.dedup_group == "cell":
-            return worker.cell == first.worker.cell
-        return cls.dedup_group == "all" or worker.zone == first.worker.zone
+        cell, zone = worker.cell == first.worker.cell, worker.zone == first.worker.zone
+        return {"cell": cell, "all": True}.get(cls.dedup_group, zone)
 
     def send(self, request: _Request, worker: _Worker) -> None:
         self.sends += 1
@@ -621,8 +626,7 @@
                 request.held = False
                 if request.done:
                     continue
-                # No slot in time: the fleet is as full as by its own word. In a large group that may be for
-                # want of news, and its jobs wait and expire well before the workers' queues are full.
+                # No slot in time: as full as by its own word, but in a large group it may want news.
                 self.fulls += entry[0] == 0 and not self.many
                 if entry[0] < 2 and request.cls.late_worth > 0 and self.rate == INF:
                     self.hold(request)  # in a full fleet late work would take slots from work in time
@@ -649,9 +653,7 @@
         elif free is not None and round(free) > 0:
             seen = round(free) + min(worker.low, worker.low_before)  # an old report: this fits for certain
             self.learn_limit(worker, max(seen, worker.limit))
-        if event.load and free is not None and self.seen is not None:
-            taken = self.limit(worker) - free + event.load.get(self.settings.queue_field, 0.0)
-            self.seen.note(self.now, worker.key, max(0.0, taken - worker.out))
+        self.hear_load(worker, event.load)
         if outcome == api.SERVED:
             pace = max(event.latency - attempt.waited, event.latency / 10, 1e-4) / request.work
             weight = min(request.work / self.mean_work, 3.0)  # waits make short jobs seem slow
@@ -691,6 +693,19 @@
             self.blame(worker, BLAME)
         worker.idle = [] if outcome == api.RESET else worker.idle
 
+    def hear_load(self, worker: _Worker, load: Mapping[str, float] | None) -> None:
+        free = load.get(self.settings.free_slots_field) if load else None
+        if load and free is not None and self.seen is not None:
+            taken = self.limit(worker) - free + load.get(self.settings.queue_field, 0.0)
+            self.seen.note(self.now, worker.key, max(0.0, taken - worker.out))
+
+    def on_probed(self, event: api.ProbeResult) -> None:
+        worker = self.workers.get(event.worker)
+        if worker is not None and event.outcome == api.SERVED:
+            worker.idle.append(self.now)
+            self.hear_load(worker, event.load)
+            self.serve_held()
+
     def praise(self, worker: _Worker, weight: float) -> None:
         worker.fail *= 1 - max(weight, TRIAL_PRAISE * worker.trial)
         if worker.trial and worker.fail < TRUST_SHARE:
@@ -733,8 +748,7 @@
 
     def follow(self, attempt: _Attempt, worker: _Worker, share: float) -> None:
         """How fast a job goes on. Its length is not known, but it is the same all the time: when it goes on
-        slower than it did, the worker has slowed down, though it answers and fails nothing.
-        """
+        slower than it did, the worker has slowed down, though it answers and fails nothing."""
         span = self.now - (attempt.share_at or attempt.sent_at)
         if span < self.settings.progress / 2 or share < attempt.share:
             return  # told again, or late
@@ -873,17 +887,4 @@
         api.Start: on_start, api.Membership: on_membership, api.Maintenance: on_maintenance,
         api.Elsewhere: on_elsewhere, api.Job: on_job, api.Outcome: on_outcome, api.Notice: on_notice,
         api.StreamStarted: on_gone, api.ClientGone: on_gone, api.PeerMessage: on_peer, api.Timer: on_timer,
-        api.Stalled: on_stalled}
-
-
-def max_min(total: float, wanted: list[float], shares: list[float]) -> list[float]:
-    """Divide by shares and lend what is not wanted; who wants less than its share keeps it as its limit."""
-    whole = sum(shares) or 1.0
-    parts = [total * share / whole for share in shares]
-    asking = [(wanted[i] / max(shares[i], 1e-9), i) for i in range(len(shares)) if wanted[i] > 0]
-    weight = sum(shares[i] for _, i in asking)
-    for _, i in sorted(asking):
-        grant = min(wanted[i], total * shares[i] / max(weight, 1e-9))
-        parts[i] = max(parts[i], grant)
-        total, weight = total - grant, weight - shares[i]
-    return parts
+        api.Stalled: on_stalled, api.ProbeResult: on_probed}
--- a/ospreyroute/fleet.py
+++ b/ospreyroute/fleet.py
@@ -30,6 +30,7 @@
 LAG = 0.15  # seconds after which an own send shows on the board
 FAR_MOST = 24  # workers on a far board, those that changed most: each byte goes to all
 FAR_AFTER, FAR_GONE = 0.25, 1.0  # seconds between far boards, and after which one tells nothing any more
+RECENT = 0.3  # seconds for which a report is as good as seen
 USUAL = 0.15  # weight of one report in what others have out on a worker as a rule
 UNKNOWN = 0.5  # part of a worker's slots that others are taken to have at most, without a fresh report
 NO_BOARD, STAGGER = 0.5, 0.03  # seconds without a board until the first, and each next one, becomes the hub
@@ -146,6 +147,10 @@
         self._told[key] = now, slots
         self._mean += USUAL * (slots - self._mean)
 
+    def fresh(self, now: float, key: int) -> bool:
+        """Whether it has told just now."""
+        return now - self._told.get(key, (-INF, 0.0))[0] < RECENT
+
     def others(self, now: float, key: int, lasts: float, limit: float) -> float:
         """On a worker that holds `limit` slots; jobs take `lasts` seconds."""
         at, slots = self._told.get(key, (-INF, 0.0))
@@ -406,3 +411,16 @@
 def smooth(old: float, count: float, span: float, memory: float) -> float:
     """Fold `count` seen in `span` seconds into a rate smoothed over `memory`; robust to very short spans."""
     return (old * memory + count) / max(memory + span, 1e-3)
+
+
+def max_min(total: float, wanted: list[float], shares: list[float]) -> list[float]:
+    """Divide by shares and lend what is not wanted; who wants less than its share keeps it as its limit."""
+    whole = sum(shares) or 1.0
+    parts = [total * share / whole for share in shares]
+    asking = [(wanted[i] / max(shares[i], 1e-9), i) for i in range(len(shares)) if wanted[i] > 0]
+    weight = sum(shares[i] for _, i in asking)
+    for _, i in sorted(asking):
+        grant = min(wanted[i], total * shares[i] / max(weight, 1e-9))
+        parts[i] = max(parts[i], grant)
+        total, weight = total - grant, weight - shares[i]
+    return parts
