--- a/ospreyroute/decide.py
+++ b/ospreyroute/decide.py
@@ -34,7 +34,7 @@
 UNFILLED = 0.75  # a worker 'full' with less than this of its slots out is at fault, not the load
 SAMPLE = 40  # workers looked at for a job in a large group, besides those that answered last
 SCANNED = 32  # held jobs looked at when a slot falls free; bounds the work of one event
-ASKED, TOLD = 3, 100.0  # workers asked for a job how full they are, and how much likelier one is that told
+ASKED, TOLD = 5, 100.0  # workers asked for a job how full they are, and how much likelier one is that told
 RESERVE = 1.0  # slots a worker keeps free of over-quota jobs, by how little those are worth
 LIMIT = 2.0  # slots that a worker is taken to have before any of its kind has taught better
 PROMPT = 0.05  # seconds from a send to its start within which a slot was free
@@ -119,8 +119,7 @@
     held: bool = False
 
     @property
-    def ran(self) -> _Attempt | None:
-        """The first attempt that may have run, or may run yet."""
+    def ran(self) -> _Attempt | None:  # the first attempt that may have run, or may run yet
         return next((a for a in self.attempts if not a.unrun), None)
 
 
@@ -168,7 +167,7 @@
         self.report_after = REPORT_AFTER
         self.part = 1 / settings.group_size  # of the fleet's demand that comes here
         self.rate = INF  # work a second that the fleet admits
-        self.sends = self.fulls = 0
+        self.sends = self.fulls = self.asking = 0  # asking: workers whose word on their load is awaited
         self.send_rate = 0.0  # of all, a second
         self.started = self.controlled = self.reported = self.refilled = 0.0
         self.ask_at, self.ask_within = INF, ASK_SPREAD * settings.group_size
@@ -309,7 +308,7 @@
 
     def refill(self) -> None:
         passed = self.now - self.refilled
-        self.refilled = self.now
+        self.refilled, self.asking = self.now, 0  # who has not answered by now does not
         for bucket in [b for b in self.buckets.values() if self.rate < INF and b.rate < INF]:
             most = max(BURST * bucket.rate, BURST_JOBS * self.mean_work)
             bucket.tokens = min(bucket.tokens + passed * bucket.rate, most)
@@ -414,6 +413,7 @@
         pool = self.pool.get(request.cls.kind, []) if self.seen and self.settings.probes else []
         asked = [w for w in self.random.sample(pool, min(ASKED, len(pool))) if self.able(w, request)]
         self.actions += [api.Probe(w.id) for w in asked]
+        self.asking += len(asked)
         if asked:
             self.hold(request)
         return bool(asked)
@@ -622,8 +622,7 @@
         for queue in self.held.values():
             for entry in [e for e in queue if e[1] <= self.now or e[3].done]:
                 queue.remove(entry)
-                request = entry[3]
-                request.held = False
+                request, entry[3].held = entry[3], False
                 if request.done:
                     continue
                 # No slot in time: as full as by its own word, but in a large group it may want news.
@@ -700,10 +699,11 @@
             self.seen.note(self.now, worker.key, max(0.0, taken - worker.out))
 
     def on_probed(self, event: api.ProbeResult) -> None:
-        worker = self.workers.get(event.worker)
+        worker, self.asking = self.workers.get(event.worker), self.asking - 1
         if worker is not None and event.outcome == api.SERVED:
             worker.idle.append(self.now)
             self.hear_load(worker, event.load)
+        if self.asking <= 0:  # with the first word alone the job went to who was full, or to anybody
             self.serve_held()
 
     def praise(self, worker: _Worker, weight: float) -> None:
