--- /dev/null
+++ b/tests/test_asking.py
@@ -0,0 +1,77 @@
+"""Where dispatchers may not tell each other of their jobs: workers are asked, and what they say is used."""
+
+from __future__ import annotations
+
+import pytest
+from helpers import job, outcome, sends, started
+
+from ospreyroute import api
+from ospreyroute.decide import ASKED, TICK, Dispatcher
+from ospreyroute.fleet import Reported
+
+ALONE = {"groupSize": "6", "policyLimits__probes": "true", "familyInfo__reportX0": "free_slots",
+         "report__source": "answers", "report__names": "depth,x0"}
+
+
+def asked(actions: list[api.Action]) -> list[int]:
+    return [a.worker for a in actions if isinstance(a, api.Probe)]
+
+
+def told(dispatcher: Dispatcher, now: float, worker: int, free: float, depth: float = 0.0) -> list[api.Action]:
+    return dispatcher.handle(now, api.ProbeResult(worker, api.SERVED, 0.001, {"x0": free, "depth": depth}))
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_a_job_waits_for_all_that_are_asked_and_goes_to_the_one_with_room(seed: int) -> None:
+    """It went with the first answer: to a full worker's neighbour, which nobody had asked."""
+    dispatcher = started(ASKED, seed, **ALONE)
+    actions = dispatcher.handle(101.0, job(1))
+    workers = asked(actions)
+    assert len(set(workers)) == ASKED and not sends(actions)
+    for worker in workers[:-1]:
+        assert not sends(told(dispatcher, 101.002, worker, free=0.0, depth=6.0))
+    assert [s.worker for s in sends(told(dispatcher, 101.003, workers[-1], free=3.0))] == [workers[-1]]
+
+
+def test_who_does_not_answer_holds_a_job_up_for_a_tenth_of_a_second_at_most() -> None:
+    dispatcher = started(20, **ALONE)
+    workers = asked(dispatcher.handle(101.0, job(1)))
+    assert not sends(told(dispatcher, 101.002, workers[0], free=3.0))
+    assert [s.worker for s in sends(dispatcher.handle(101.1, api.Timer(TICK)))] == [workers[0]]
+    assert asked(dispatcher.handle(101.2, job(2)))  # and the next one is asked for anew
+    late = [told(dispatcher, 101.25, worker, free=0.0) for worker in workers[1:]]
+    assert all(len(sends(actions)) <= 1 for actions in late)
+
+
+@pytest.mark.parametrize("change", [
+    {"policyLimits__probes": "false"}, {"policyLimits__peers": "true"}, {"groupSize": "1"}])
+def test_nobody_is_asked_where_probes_are_forbidden_or_others_tell_or_there_are_none(change: dict[str, str]) -> None:
+    actions = started(20, **{**ALONE, **change}).handle(101.0, job(1))
+    assert not asked(actions) and len(sends(actions)) == 1
+
+
+def test_a_job_that_nobody_can_be_asked_for_is_held_and_ends_in_time() -> None:
+    dispatcher = started(0, **ALONE)
+    assert dispatcher.handle(101.0, job(1, remaining=2.0)) == []
+    ends = [a for at in range(25) for a in dispatcher.handle(101.0 + at / 10, api.Timer(TICK))
+            if isinstance(a, (api.Refuse, api.Abort))]
+    assert len(ends) == 1
+
+
+def test_a_report_is_worth_less_the_older_it_is() -> None:
+    seen = Reported()
+    for worker in range(10):
+        seen.note(100.0, worker, 4.0)
+    seen.note(100.0, 3, 9.0)
+    now = seen.others(100.0, 3, lasts=2.0, limit=6.0)
+    later = seen.others(104.0, 3, lasts=2.0, limit=6.0)
+    assert now == 9.0 > later > seen.others(200.0, 3, lasts=2.0, limit=6.0) <= 3.0
+    assert seen.fresh(100.1, 3) and not seen.fresh(101.0, 3) and not seen.fresh(100.0, 99)
+
+
+def test_a_job_withdrawn_without_a_word_from_its_worker_counts_against_that() -> None:
+    dispatcher = started(4, groupSize="1")
+    dispatcher.job_time = 0.5
+    [send] = sends(dispatcher.handle(101.0, job(1)))
+    dispatcher.handle(103.0, outcome(1, send.worker, api.CANCELLED))
+    assert dispatcher.workers[send.worker].fail > 0
