--- a/ospreyroute/decide.py
+++ b/ospreyroute/decide.py
@@ -2,8 +2,7 @@
 
 `Dispatcher(settings, seed).handle(now, event)` answers with a list of actions, without clock, I/O or state
 outside. A job's life: its tenant's bucket admits or refuses it on arrival; it goes to a random ready worker,
-or is held for a slot; each outcome ends it, sends it elsewhere, or fails it.
-"""
+or is held for a slot; each outcome ends it, sends it elsewhere, or fails it."""
 import math
 import random
 from bisect import insort
@@ -14,7 +13,7 @@
 from typing import ClassVar
 
 from . import api, peerwire
-from .fleet import MEMORY, Fleet, Reported, max_min, smooth
+from .fleet import MEMORY, Fleet, Reported, Spent, max_min, smooth
 
 INF = float("inf")
 TICK, REPORT = 1, 2  # timers: housekeeping and peer report
@@ -34,7 +33,7 @@
 UNFILLED = 0.75  # a worker 'full' with less than this of its slots out is at fault, not the load
 SAMPLE = 40  # workers looked at for a job in a large group, besides those that answered last
 SCANNED = 32  # held jobs looked at when a slot falls free; bounds the work of one event
-ASKED, TOLD = 5, 100.0  # workers asked for a job how full they are, and how much likelier one is that told
+ASKED, TOLD, SUITS = 5, 100.0, 10.0  # asked for a job how full they are; likelier if it told, if it suits
 RESERVE = 1.0  # slots a worker keeps free of over-quota jobs, by how little those are worth
 LIMIT = 2.0  # slots that a worker is taken to have before any of its kind has taught better
 PROMPT = 0.05  # seconds from a send to its start within which a slot was free
@@ -43,14 +42,13 @@
 KIND_WEIGHT, WAIT_WEIGHT = 0.02, 0.05  # weight of one observation, and of one wait, in a kind's threshold
 BLAME, PEER_BLAME = 0.3, 0.15  # weight of one failure, own or told by a peer: one of a peer's does not bench
 BENCH_SHARE, TRUST_SHARE = 0.25, 0.15  # failure share at which a worker is benched, and is trusted again
-TRIAL_PRAISE = 0.5  # weight of a good outcome while it is tried: its past is long
-TRIAL_TURN = 1.0  # seconds for each peer, over which a large group spreads its first trial jobs
+TRIAL_PRAISE, TRIAL_TURN = 0.5, 1.0  # weight of a good trial; seconds for each peer that trials spread over
 BENCH_FIRST, BENCH_MOST = 0.5, 8.0  # seconds a worker sits out; doubles while its trial jobs fail
 BENCHED_FLEET = 0.75  # bench no more of the fleet: then the fault lies elsewhere
 SILENT_NOTICES, SILENT_JOBS = 1.5, 3.0  # progress intervals, or mean job times by slots out: a stall
 SLOW = 0.5  # speed, by the progress of its jobs and beside the fleet's, under which a worker is passed over
 SPEED_WEIGHT, SPEED_MEMORY = 0.4, 8.0  # weight of one progress notice; seconds after which speed is forgotten
-UNNOTICED, WAITS = 1.0, 8.0  # seconds, and usual waits, without a start notice after which a job is lost
+UNNOTICED, WAITS = 1.0, 8.0  # seconds, and usual waits, until a job is lost: copies of waiting ones add load
 PRICE = 100.0  # a price of one point in 100 doubles the preference for an idle connection or the own zone
 COLD_MARGIN = 0.75  # part of the cold budget that is used: hints are rough and peers' clocks differ
 
@@ -150,6 +148,7 @@
         self.pace = 0.0  # of the mean worker
         self.mean_work = 1.0  # of a job, as hinted
         self.job_time = 0.0  # mean latency of what was served
+        self.spent, self.hasty = Spent(), min(settings.classes, key=lambda c: c.aim)
         self.wait = 0.0  # from sends to starts, lately
         self.fleet_speed = 1.0  # of the middle worker
         self.requests: dict[int, _Request] = {}
@@ -225,8 +224,7 @@
             if m.started_at > worker.started_at:  # its past is void
                 worker.fail, worker.trial, worker.benched_until, worker.bench_over = 0.0, False, 0.0, 0.0
             worker.kind, worker.cell, worker.zone = m.kind, m.cell, m.zone
-            worker.started_at = max(m.started_at, worker.started_at)
-            worker.up = m.status == api.UP
+            worker.started_at, worker.up = max(m.started_at, worker.started_at), m.status == api.UP
             worker.listed = worker.up and worker.id not in self.by_hand
             self.let_go(worker)
         if event.how != api.REMEMBERED and self.settings.subscribe:
@@ -290,8 +288,7 @@
             request.over = self.quota[tenant] < 1.0
             self.quota[tenant] -= not request.over
         key = (tenant, job.cls)
-        bucket = self.buckets.get(key)
-        if bucket is None:
+        if (bucket := self.buckets.get(key)) is None:
             bucket = self.buckets[key] = _Bucket()
             if self.settings.peers and (not self.many or self.now - self.reported >= self.report_after):
                 self.report()
@@ -408,16 +405,23 @@
 
     # ---- placement ----------------------------------------------------------------------------------------
 
-    def ask_round(self, request: _Request) -> bool:
+    def ask_round(self, job: _Request) -> bool:
         """Where nobody tells of others' jobs some workers are asked how full they are; the job waits."""
-        pool = self.pool.get(request.cls.kind, []) if self.seen and self.settings.probes else []
-        asked = [w for w in self.random.sample(pool, min(ASKED, len(pool))) if self.able(w, request)]
+        pool = self.pool.get(job.cls.kind, []) if self.seen and self.settings.probes else []
+        some = self.random.sample(pool, min(3 * ASKED, len(pool)))
+        asked = sorted((w for w in some if self.able(w, job)), key=lambda w: -self.suits(w, job))[:ASKED]
         self.actions += [api.Probe(w.id) for w in asked]
         self.asking += len(asked)
         if asked:
-            self.hold(request)
+            self.hold(job)
         return bool(asked)
 
+    def suits(self, worker: _Worker, request: _Request) -> float:
+        """Long jobs leave some workers to the class with the shortest aim: behind them it is late first."""
+        own = peerwire.mix(worker.id + 1) % 1000 < 2000 * self.spent.part(self.hasty) * self.many
+        like = SUITS if own else 1.0
+        return like if request.cls is self.hasty else 1 / like
+
     def place(self, request: _Request) -> None:
         worker = self.choose(request)
         if worker is not None:
@@ -458,6 +462,7 @@
                 ready.append(worker)
                 home = 1 + near * (worker.zone == self.settings.zone)
                 told = TOLD if self.seen and self.seen.fresh(self.now, worker.key) else 1.0
+                told *= self.suits(worker, request) if self.seen else 1.0
                 weights.append(room * share / pace * told * home * (1 + kept * self.has_idle(worker)))
             elif not worker.trial and not request.over:
                 if self.limit(worker) * self.part + 0.5 - worker.out >= request.slots:
@@ -515,8 +520,7 @@
 
     def silent(self, worker: _Worker) -> bool:
         """Guards against a worker with jobs that stands still with its process up, or is cut off. With more
-        jobs out one of them should end sooner; a run of long jobs may cost it new ones until the first ends.
-        """
+        jobs out one of them should end sooner; a run of long jobs may cost it new ones until one ends."""
         patience = SILENT_NOTICES * self.settings.progress
         patience = patience or self.job_time * (1 + SILENT_JOBS / max(worker.out, 1.0))
         return worker.out > 0 and self.now - worker.last_sign > patience > 0
@@ -661,6 +665,7 @@
                 worker.pace += LEARN * weight * (pace - worker.pace) if worker.pace else pace
                 self.pace += 0.05 * weight * (pace - self.pace) if self.pace else pace
             worker.barred.pop(request.cls, None)
+            self.spent.note(request.cls, pace * request.work * request.slots)
             self.praise(worker, BLAME)
             if free is None and out + request.slots >= self.limit(worker):
                 weight = LEARN if worker.limit else 1.0
@@ -781,7 +786,6 @@
 
     def stranded(self, request: _Request, attempt: _Attempt) -> bool:
         if not attempt.noticed:
-            # Many wait in queues while the fleet is busy: copied after a second, they tripled the load.
             lost = self.now - max(attempt.sent_at, attempt.worker.last_sign) > UNNOTICED + WAITS * self.wait
             return lost and not (self.many and self.rate < INF)  # in a full fleet a copy would wait as well
         if self.silent(attempt.worker):
@@ -806,16 +810,15 @@
         attempt = request.attempts[event.attempt]
         if not attempt.open:
             return
-        attempt.open = False
-        request.pending -= 1
+        attempt.open, request.pending = False, request.pending - 1
         worker = attempt.worker
         worker.out = max(0.0, worker.out - request.slots)
         before = worker.fail
         self.learn(attempt, request, event)
         failed = worker.fail > before or event.outcome == api.RESET
         served = event.outcome == api.SERVED
-        what = peerwire.SERVED if served else peerwire.FAILED if failed else peerwire.ENDED
-        self.fleet.note(self.now, worker.key, what, round(request.slots))
+        ended = peerwire.SERVED if served else peerwire.FAILED if failed else peerwire.ENDED
+        self.fleet.note(self.now, worker.key, ended, round(request.slots))
         self.let_go(worker)
         attempt.unrun = event.outcome in api.PROVEN_UNRUN
         if event.settled:
@@ -851,8 +854,7 @@
             self.end(request)
 
     def refuse(self, request: _Request) -> None:
-        """Spread returning clients over time, or they would come back together."""
-        after = self.settings.max_retry_after * (0.5 + 0.5 * self.random.random())
+        after = self.settings.max_retry_after * (0.5 + 0.5 * self.random.random())  # lest all come at once
         self.actions.append(api.Refuse(request.id, after if self.settings.retry_after else 0.0))
         self.end(request)
 
@@ -861,8 +863,7 @@
         if request.pending == 0:
             self.requests.pop(request.id, None)
 
-    def on_gone(self, event: api.ClientGone | api.StreamStarted) -> None:
-        """No answer is owed any more; what is out, a started stream too, still ends in an outcome."""
+    def on_gone(self, event: api.ClientGone | api.StreamStarted) -> None:  # what is out still has its outcome
         if event.request in self.requests:
             self.end(self.requests[event.request])
 
--- a/ospreyroute/fleet.py
+++ b/ospreyroute/fleet.py
@@ -11,8 +11,8 @@
 from __future__ import annotations
 
 import math
-from collections import Counter, deque
-from collections.abc import Iterator
+from collections import Counter, defaultdict, deque
+from collections.abc import Hashable, Iterator
 from dataclasses import dataclass, field
 
 from . import peerwire
@@ -30,6 +30,7 @@
 LAG = 0.15  # seconds after which an own send shows on the board
 FAR_MOST = 24  # workers on a far board, those that changed most: each byte goes to all
 FAR_AFTER, FAR_GONE = 0.25, 1.0  # seconds between far boards, and after which one tells nothing any more
+FORGOTTEN, SMALL_PART = 0.01, 0.35  # of what was served before, with each job; of all work
 RECENT = 0.3  # seconds for which a report is as good as seen
 USUAL = 0.15  # weight of one report in what others have out on a worker as a rule
 UNKNOWN = 0.5  # part of a worker's slots that others are taken to have at most, without a fresh report
@@ -158,6 +159,23 @@
         return fresh * slots + (1 - fresh) * min(self._mean, UNKNOWN * limit)
 
 
+class Spent:
+    """How much of the work lately served was of each class of jobs, in slot-seconds."""
+
+    def __init__(self) -> None:
+        self._by_class: defaultdict[Hashable, float] = defaultdict(float)
+
+    def note(self, cls: Hashable, work: float) -> None:
+        for other in self._by_class:
+            self._by_class[other] *= 1 - FORGOTTEN
+        self._by_class[cls] += work
+
+    def part(self, cls: Hashable) -> float:
+        """0 where it is not a small one, or the only one, or not known yet."""
+        part = self._by_class[cls] / max(sum(self._by_class.values()), 1e-9)
+        return part if part < SMALL_PART else 0.0
+
+
 class Fleet:
     def __init__(self, group_size: int, own_number: int, incarnation: int, report_after: float) -> None:
         self.group_size = group_size
