--- a/tests/test_asking.py
+++ b/tests/test_asking.py
@@ -7,7 +7,7 @@
 
 from ospreyroute import api
 from ospreyroute.decide import ASKED, TICK, Dispatcher
-from ospreyroute.fleet import Reported
+from ospreyroute.fleet import Reported, Spent
 
 ALONE = {"groupSize": "6", "policyLimits__probes": "true", "familyInfo__reportX0": "free_slots",
          "report__source": "answers", "report__names": "depth,x0"}
@@ -75,3 +75,36 @@
     [send] = sends(dispatcher.handle(101.0, job(1)))
     dispatcher.handle(103.0, outcome(1, send.worker, api.CANCELLED))
     assert dispatcher.workers[send.worker].fail > 0
+
+
+def test_the_part_of_a_class_is_told_where_it_is_small() -> None:
+    spent = Spent()
+    assert spent.part("short") == 0.0  # nothing is known
+    for _ in range(300):
+        spent.note("short", 1.0)
+        spent.note("long", 9.0)
+    assert 0.08 < spent.part("short") < 0.12
+    assert spent.part("long") == 0.0  # most of the work: it needs no workers of its own
+    for _ in range(600):
+        spent.note("short", 1.0)
+    assert spent.part("short") == 0.0  # the day has changed
+
+
+def test_long_jobs_leave_some_workers_to_the_shortest_class_in_a_large_group_alone() -> None:
+    def bias(size: str) -> tuple[list[float], list[float]]:
+        dispatcher = started(200, groupSize=size, requestClasses__0__aim="0.2")
+        short, long = dispatcher.settings.classes[0], dispatcher.settings.classes[1]
+        for _ in range(100):
+            dispatcher.spent.note(short, 1.0)
+            dispatcher.spent.note(long, 9.0)
+        wishes = []
+        for number, cls in enumerate((0, 1)):
+            dispatcher.handle(101.0, job(number, cls))
+            request = dispatcher.requests[number]
+            wishes.append([dispatcher.suits(worker, request) for worker in dispatcher.workers.values()])
+        return wishes[0], wishes[1]
+
+    for_short, for_long = bias("200")
+    assert 0.12 < sum(like > 1 for like in for_short) / 200 < 0.28  # twice its part of the work
+    assert [1 / like for like in for_short] == pytest.approx(for_long)
+    assert set(sum(bias("6"), [])) == {1.0}
