--- a/beaconhinge/standin/discovery.py
+++ b/beaconhinge/standin/discovery.py
@@ -28,17 +28,20 @@
         self.version += 1
         self.servers[name] = {**self.servers[name], **fields}
         self._changed[name] = self.version
-        self._news.set()
-        self._news = asyncio.Event()
+        self._wake()
 
     def whole(self) -> dict[str, object]:
         return {"version": self.version, "full": True, "servers": list(self.servers.values())}
 
+    def _wake(self) -> None:
+        """All open watches have their answer."""
+        self._news.set()
+        self._news = asyncio.Event()
+
     def go(self) -> None:
         """Be out from now on: open watches end."""
         self.out = True
-        self._news.set()
-        self._news = asyncio.Event()
+        self._wake()
 
     def mute(self) -> int:
         """Let all open watches fall silent, as if their connections led nowhere; how many."""
--- a/tests/recovery/test_drains.py
+++ b/tests/recovery/test_drains.py
@@ -44,3 +44,9 @@
     assert verdict.broken == [], verdict.last
     assert verdict.faults["drain"] == 2 and verdict.ends["200"] > 0.7 * verdict.asked > 150
     assert verdict.counters.get("watch_silent", 0) >= 4 or "silent" not in story.name
+
+
+def test_only_drains_need_a_box_that_stays() -> None:
+    """A story with one box was refused for any fault."""
+    assert Story("one box", boxes=1, racks=1, faults=[Fault(1.0, "stop", 1.0)]).problem() is None
+    assert "boxes" in str(Story("one box", boxes=1, racks=1, faults=[Fault(1.0, "drain", 1.0)]).problem())
