Begin no attempt for a client that has gone; bound the way to news; end connections softly

Confirmed, with the lines at fault: - workers.py `_carry` looked at the list alone after its dial, up to `connectTimeout` (0.25 s) after the client had gone, and wrote the job. Now `Attempt.begin` is asked right before the first byte; an answered request ends attempts that have not begun, and their dials; the client's socket itself is looked at, since its end may lie unread. - membership.py: after a failure calls came again in up to 10 s, 22 s after discovery's return for the last of 1,024 in the test's model (12.1 s of 230). Now within 2 s, with 2 s for each call: 6 s at the most, in every size. - http1.py `_fill`, frontend.py `_accept`: uvloop's calls take bytes or a client in one turn and hand them over in a later one; a look in between saw a connection at rest. `sockets.readable` waits, and the taking is in the turn that uses it. - frontend.py: idle connections were closed hard, the last look passed over newcomers, who had sent nothing read yet was closed for room over an unread request, and a late process let its own timer for a first message win. - decide.py `cold_share`: jobs counted at the mean of all classes and kinds. Now by class and kind, by the kind's slots, and a restarted process waits `tipAfter` for what its earlier life may have sent. - decide.py `may_repeat`: decided within the window, written up to a dial later, beyond it. An unsafe job could go to a worker twice, where a repeated word on the first try ended the second. - __main__.py: SIGHUP before its handler ended the process (status -1 in the test).

--- a/beaconhinge/__main__.py
+++ b/beaconhinge/__main__.py
@@ -31,6 +31,8 @@
 from .stats import Stats
 from .wheel import Wheel
 
+HELD = {signal.SIGHUP}  # kept until its handler stands
+
 if TYPE_CHECKING:
     from .books.keeper import Keeper
     from .config.ours import Ours
@@ -88,6 +90,7 @@
         loop.add_signal_handler(number, stopping.set)
     loop.add_signal_handler(signal.SIGUSR1, stats.report)
     loop.add_signal_handler(signal.SIGHUP, reload)
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, HELD)  # one that came since `run` began is dealt with now
     inherited = await upgrade.inherit() if upgrade is not None else None
     peers.listen()
     core.feed(api.Start())
@@ -162,6 +165,8 @@
     # libuv's io_uring starts a kernel thread that polls. It took nine tenths of the CPU within half a core,
     # and the work here ran late. libuv reads this when the loop is made.
     os.environ["UV_USE_IO_URING"] = "0"
+    # A new configuration may come while this starts: SIGHUP would end a process that has no handler yet.
+    signal.pthread_sigmask(signal.SIG_BLOCK, HELD)
     ours: Ours | None = None
     reread: Callable[[], Ours] | None = None
     try:
--- a/beaconhinge/membership.py
+++ b/beaconhinge/membership.py
@@ -15,13 +15,16 @@
 WAIT, WAIT_PART = 4.0, 0.4  # that a watch may wait for news, and that as a part of `mustAskIn` at most
 SILENT = 0.5  # beyond its wait after which a watch has fallen silent: 2 s after it that counts as told
 REST = 1.0  # from the first byte of an answer to its last: some never end
-ANSWER, ANSWER_MOST = 1.0, 3.2  # for a call that does not wait; doubled while calls fail, as queues grow
+ANSWER = 2.0  # for a call that does not wait: given up, it is worked on all the same, and comes again on top
+ANSWER_SILENT = 1.0  # the same right after a silent watch, whose news count as told soon
 AGENT_ANSWER, AGENT_MOST = 0.3, 1.2  # the same where an agent at hand has the list
 PAUSE = 0.05  # from an answer to the next call, of 0.2 allowed: bounds calls answered at once
 AGAIN_AGENT = 0.1  # between calls to an agent: what it gets counts as told at once
 AGAIN_SILENT = 0.5  # within which a call comes again that was to follow a silent watch
 SPREAD = 0.25  # for each dispatcher, over which they call again after a break that all saw
-SPREAD_MOST = 0.05  # the same, for the longest such time
+# The longest such time. News count as told 6 s after discovery could be reached, whatever failed before: a
+# call that began just before is given up ANSWER later, the next begins within this, and has ANSWER again.
+SPREAD_MOST = 2.0
 EARLY = 0.9  # part of its wait before which a watch's answer without news is not its own
 
 
@@ -54,13 +57,14 @@
         # for the whole list, one call right after the other, until discovery refused.
         self.version = version
         self._wait = min(WAIT, WAIT_PART * must_ask_in) if must_ask_in > 0 else WAIT
-        self._first = min(SPREAD * group_size, must_ask_in / 2)
-        self._longest = max(must_ask_in / 2, min(2 * must_ask_in, SPREAD_MOST * group_size))
+        self._longest = max(min(SPREAD_MOST, must_ask_in / 2), PAUSE)  # even if told to be 0: no hammering
+        self._first = min(SPREAD * group_size, self._longest)
         self._whole = False  # all is to be asked for
         self._doubted = False  # the last answer was older than the list in use
         self._reread = False  # all was asked for once more since an entry could not be read
         self._watching = False  # nothing is missed: the next call may wait
         self._window = 0.0  # in which a call that has failed comes again; 0: none has
+        self._silent = False  # a watch has fallen silent, and the call that follows it is not answered yet
         self._failures = 0
         self._call = Call(None, 0.0, ANSWER)
 
@@ -68,12 +72,17 @@
         """Anew, with another discovery or another list, from no version or from this one."""
         self.version = version
         self._whole = self._doubted = self._watching = False
-        self._window, self._failures = 0.0, 0
+        self._window, self._silent, self._failures = 0.0, False, 0
 
     def catch_up(self, whole: bool = False) -> None:
         """The next call does not wait."""
         self._watching, self._whole = False, self._whole or whole
 
+    def moved(self, chance: float) -> float:
+        """All have heard of another discovery at once; the seconds until the first call there."""
+        self.begin(None)
+        return 0.0 if self.pushed else self._first * chance
+
     @property
     def failing(self) -> bool:
         return self._failures > 0
@@ -81,15 +90,19 @@
     def call(self) -> Call:
         index = None if self._whole else self.version
         wait = self._wait if self._watching and index is not None else 0.0
-        first, most = (AGENT_ANSWER, AGENT_MOST) if self.pushed else (ANSWER, ANSWER_MOST)
-        patience = wait + SILENT if wait else min(first * 2**min(self._failures, 8), most)
+        if wait:
+            patience = wait + SILENT
+        elif self.pushed:
+            patience = min(AGENT_ANSWER * 2**min(self._failures, 8), AGENT_MOST)
+        else:
+            patience = ANSWER_SILENT if self._silent else ANSWER
         self._call = Call(index, wait, patience)
         return self._call
 
     def answered(self, hosts: Hosts, after: float) -> Step:
         """An answer has come so many seconds after its call."""
         call, known = self._call, self.version
-        self._window, self._failures = 0.0, 0
+        self._window, self._silent, self._failures = 0.0, False, 0
         if known is not None and hosts.version < known and not (call.index is None and self._doubted):
             # One answer behind, or discovery has begun anew: only all of it, twice on new connections, tells.
             self._doubted = self._whole = True
@@ -115,7 +128,10 @@
         if self.pushed:
             return AGAIN_AGENT * (0.5 + chance)
         if watched and silent:  # each watch ends at its own time, so that nobody comes in step
-            self._window = AGAIN_SILENT
+            self._silent = True
             return 0.0
+        if self._silent:
+            self._silent = False
+            return AGAIN_SILENT * chance
         self._window = min(2 * self._window, self._longest) if self._window else self._first
         return self._window * chance
--- a/beaconhinge/net/discovery.py
+++ b/beaconhinge/net/discovery.py
@@ -94,9 +94,9 @@
         if address == self.address:
             return
         self.address = address
-        self.following.begin(None)
-        if self._watch is not None:  # at once: the module would ask again only when the old watch had failed
-            self._again()
+        pause = self.following.moved(self._random.random())
+        if self._watch is not None:  # soon: the module would ask again only when the old watch had failed
+            self._again(pause=pause)
 
     def _subscribe(self, action: api.Subscribe) -> None:
         if self._watch is not None and not action.on:
@@ -105,12 +105,12 @@
         elif action.on and (self._watch is None or self._watch.done()):
             self._again()
 
-    def _again(self, whole: bool = False) -> None:
+    def _again(self, whole: bool = False, pause: float = 0.0) -> None:
         """Call now, and follow from there. One call at a time: no answer overtakes another."""
         if self._watch is not None:
             self._watch.cancel()
         self.following.catch_up(whole)
-        self._watch = self.stats.spawn(self._follow(), "watch")
+        self._watch = self.stats.spawn(self._follow(pause), "watch")
 
     async def refresh(self) -> None:
         """Have what has changed at once. Returns when it is there, or could not be had."""
@@ -118,11 +118,12 @@
         self._again()
         await self._heard.wait()
 
-    async def _follow(self) -> None:
+    async def _follow(self, pause: float) -> None:
         """One call after the other: what was missed, which is answered at once, then watches."""
         line = _Line()
         try:
             while True:
+                await asyncio.sleep(pause)
                 call, began = self.following.call(), self.wheel.now()
                 try:
                     hosts = await self._call(line, call)
@@ -132,7 +133,6 @@
                 else:
                     pause = self._answered(line, hosts, self.wheel.now() - began)
                 self._heard.set()
-                await asyncio.sleep(pause)
         finally:
             line.drop()
 
--- a/beaconhinge/net/frontend.py
+++ b/beaconhinge/net/frontend.py
@@ -18,7 +18,7 @@
 from ..stats import Stats
 from ..wheel import Wheel
 from .http1 import BadMessage, Closed, Connection, Message, response
-from .sockets import Budget, steer_to_second, tcp_listener
+from .sockets import Budget, close, readable, steer_to_second, tcp_listener
 
 if TYPE_CHECKING:
     from .streams import Streams
@@ -49,6 +49,7 @@
         self.connection = connection
         self.owed = False  # an answer is being made or written
         self.tells_news = False
+        self.seen_off = False  # our side has ended: what comes now is not taken, its client sends it again
 
     @property
     def idle(self) -> bool:
@@ -74,6 +75,7 @@
         self.answer_by = math.inf
         self.peers: dict[_Peer, None] = {}  # in the order of their last use
         self.unheard: dict[_Peer, None] = {}  # those that have sent no whole message, in the order they came
+        self.leaving: set[_Peer] = set()  # those seen off, until they close as well
         self.classes = {name: i for i, name in enumerate(config.class_names)}
         self.tenants = {name: i for i, name in enumerate(config.tenant_names)}
         self._listener: socket.socket | None = None
@@ -94,16 +96,19 @@
                     async with self.wheel.limit(FRESH / 2):  # others may have been still for long enough then
                         await self.budget.freed()
             try:
-                sock, _ = await asyncio.get_running_loop().sock_accept(listener)
-            except OSError as error:  # the client has left again, or descriptors are short after all
+                await readable(listener)
+                sock, _ = listener.accept()
+            except BlockingIOError:  # the client has left again
+                self.budget.give_back()
+            except OSError as error:  # or descriptors are short after all
                 self.budget.give_back()
                 self.stats.complain("accept_failed", why=error)
                 await asyncio.sleep(0.01)
-                continue
             except asyncio.CancelledError:
                 self.budget.give_back()
                 raise
-            self._welcome(sock)
+            else:
+                self._welcome(sock)
 
     @property
     def most(self) -> int:
@@ -130,7 +135,9 @@
         """First who has never sent a whole message, then who has sent none for the longest."""
         still = self.wheel.now() - FRESH
         for peer in chain(self.unheard, self.peers):
-            if peer.connection.used_at < still and (peer in self.unheard or peer.idle):
+            # A request that lies unread counts as taken: only who has sent nothing to this moment goes.
+            rests = peer.connection.silent() if peer in self.unheard else peer.idle
+            if peer.connection.used_at < still and rests:
                 self._forget(peer)
                 peer.connection.close()
                 self.stats.count("connections_closed_for_room")
@@ -146,6 +153,9 @@
         try:
             while True:
                 message = await self._next(peer)
+                if peer.seen_off:
+                    self.stats.count("requests_after_the_end")
+                    continue
                 self.unheard.pop(peer, None)
                 data, close = await self._respond(peer, message)
                 if close:
@@ -168,6 +178,7 @@
         finally:
             peer.owed = False
             self._forget(peer)
+            self.leaving.discard(peer)
             connection.close()
 
     async def _next(self, peer: _Peer) -> Message:
@@ -177,13 +188,15 @@
             limit = FIRST_MESSAGE
         else:
             await connection.begun()
-        try:
-            async with self.wheel.limit(limit):
-                return await connection.next()
-        except TimeoutError:
-            if not connection.partial:
-                raise Closed from None
-            raise BadMessage(408, f"the message was not whole after {limit:g} s") from None
+        for wait in (limit, FRESH):
+            with contextlib.suppress(TimeoutError):
+                async with self.wheel.limit(wait):
+                    return await connection.next()
+            if connection.silent():  # or this process was late itself, and has not read what had come
+                break
+        if not connection.partial:
+            raise Closed
+        raise BadMessage(408, f"the message was not whole after {limit:g} s")
 
     async def _part(self, peer: _Peer, data: bytes) -> None:
         self.unheard.pop(peer, None)
@@ -238,7 +251,7 @@
             outcome = await self.streams.answer(peer.connection, job, close)
             close = close or self.parting
             return b"" if outcome is None else written(outcome, close), close
-        answer = await self._answer(peer, self.requests.take(job))
+        answer = await self._answer(peer, self.requests.take(job, has_left=peer.connection.ended))
         close = self.parting or not message.keep_alive
         return written(answer, close), close
 
@@ -373,15 +386,33 @@
         while self.owing:
             await asyncio.sleep(LOOK)
         self._stop_listening()
-        while self.owing:
+        while self.owing or self._newcomers():
             await asyncio.sleep(LOOK)
+        for peer in list(self.peers):
+            self._see_off(peer)
+        while self.leaving:  # closed here at once, what is on its way would reset the answers before it
+            await asyncio.sleep(LOOK)
+
+    def _newcomers(self) -> bool:
+        """Whether somebody came so lately that his request may be on the way."""
+        since = self.wheel.now() - FRESH
+        return any(peer.connection.used_at > since for peer in self.unheard)
 
     def _close_idle_clients(self, heard: bool = False) -> None:
         for peer in [peer for peer in self.peers if peer.idle and not peer.tells_news]:
             if heard and peer in self.unheard:
                 continue
-            self._forget(peer)
-            peer.connection.close()
+            self._see_off(peer)
+
+    def _see_off(self, peer: _Peer) -> None:
+        """End our side, and read until the peer has closed as well. What it sends meanwhile has crossed that
+        and is not taken: it comes again elsewhere.
+        """
+        self._forget(peer)
+        peer.seen_off = True
+        peer.connection.end()
+        self.leaving.add(peer)
+        self.wheel.after(LINGER, peer.connection.close)
 
     def _stop_listening(self) -> None:
         """Take what waits in the backlog, since who sent it counts on an answer, and close the listener."""
@@ -393,7 +424,7 @@
                 self._welcome(self._listener.accept()[0])
         except OSError:  # the backlog is empty
             self.budget.give_back()
-        self._listener.close()
+        close(self._listener)
         self._listener = None
 
     @property
--- a/beaconhinge/net/http1.py
+++ b/beaconhinge/net/http1.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import socket
 from collections import deque
 from collections.abc import Callable, Mapping
@@ -12,6 +13,8 @@
 
 import httptools
 
+from . import sockets
+
 MAX_HEAD = 16 * 1024
 MAX_BODY = 64 * 1024
 MAX_MESSAGE = MAX_HEAD + 8 * MAX_BODY  # raw bytes of one message, chunk framing and trailers included
@@ -128,7 +131,7 @@
     async def _fill(self) -> bool:
         """Read once; False when the peer has ended or broken the connection."""
         try:
-            count = await asyncio.get_running_loop().sock_recv_into(self.sock, self._buffer)
+            count = await self._receive()
         except OSError:
             return False
         if count == 0:
@@ -153,6 +156,14 @@
             self._fail(400, "too many requests sent ahead")
         return True
 
+    async def _receive(self) -> int:
+        """Wait for bytes, and read them in the very turn that parses them."""
+        while True:
+            try:
+                return self.sock.recv_into(self._buffer)
+            except BlockingIOError:
+                await sockets.readable(self.sock)
+
     def _take_end(self) -> None:
         """An answer without a length is whole when its connection ends."""
         headers = self._message.headers
@@ -191,18 +202,30 @@
 
     def silent(self) -> bool:
         """Nothing waits to be read, not even the peer's end of the connection."""
+        return not self.inbox and self._waiting() is None
+
+    def ended(self) -> bool:
+        """Whether the peer has gone, though the task that reads here may not have run since."""
+        return not self._open or self._waiting() == b""
+
+    def _waiting(self) -> bytes | None:
+        """The first unread byte; none if the peer has ended or broken the connection, None if it rests."""
         try:
-            self.sock.recv(1, socket.MSG_PEEK)
+            return self.sock.recv(1, socket.MSG_PEEK)
         except BlockingIOError:
-            return not self.inbox
+            return None
         except OSError:
-            pass
-        return False
+            return b""
+
+    def end(self) -> None:
+        """Nothing more is written: the peer reads the end of the connection, and closes it."""
+        with contextlib.suppress(OSError):  # it has broken by now
+            self.sock.shutdown(socket.SHUT_WR)
 
     async def linger(self) -> None:
         """Let the peer read a last answer: closing on its unread bytes would reset that away."""
+        self.end()
         try:
-            self.sock.shutdown(socket.SHUT_WR)
             for _ in range(2 * MAX_BODY // len(self._buffer)):
                 if not await self.reading():
                     return
@@ -214,7 +237,7 @@
             self._open = False
             if self._reading is not None:
                 self._reading.cancel()
-            self.sock.close()
+            sockets.close(self.sock)
             self._hold(-self._held)
             self._closed()
 
--- a/beaconhinge/net/sockets.py
+++ b/beaconhinge/net/sockets.py
@@ -89,6 +89,35 @@
     return True
 
 
+async def readable(sock: socket.socket) -> None:
+    """Wait until there is something to read, or somebody to accept, and leave it there.
+
+    The loop's own calls take it in one turn and hand it over in a later one. What is decided between the two
+    sees nothing in the socket and nothing here: a connection looked idle and was closed over a request that
+    had been read, and a cancelled accept closed a client unheard. Who closes the socket does it by `close`.
+    """
+    loop = asyncio.get_running_loop()
+    waiter: asyncio.Future[None] = loop.create_future()
+
+    def wake() -> None:
+        if not waiter.done():
+            waiter.set_result(None)
+
+    loop.add_reader(sock, wake)
+    try:
+        await waiter
+    finally:
+        if sock.fileno() >= 0:
+            loop.remove_reader(sock)
+
+
+def close(sock: socket.socket) -> None:
+    """Close a socket that `readable` may wait on: a new one may get its descriptor at once."""
+    if sock.fileno() >= 0:
+        asyncio.get_running_loop().remove_reader(sock)
+        sock.close()
+
+
 async def connect(address: tuple[str, int]) -> socket.socket:
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     try:
--- a/beaconhinge/net/workers.py
+++ b/beaconhinge/net/workers.py
@@ -162,8 +162,14 @@
             self.stats.complain("kept_connection_stale", idle=idle_for, reuse_within=self.reuse_within)
 
     def _keep(self, host: Host, connection: Connection, message: Message) -> None:
+        if message.keep_alive:
+            self._rest(host, connection)
+        else:
+            connection.close()
+
+    def _rest(self, host: Host, connection: Connection) -> None:
         worker = self.workers.get(host.member.worker)
-        if message.keep_alive and worker is not None and worker.host.address == host.address:
+        if worker is not None and worker.host.address == host.address:
             connection.used_at = self.wheel.now()
             worker.idle.append(connection)
         else:
@@ -182,13 +188,13 @@
         carried.task = self.stats.spawn(self._carry(carried), "attempt")
 
     def _release(self, carried: _Carried, outcome: str) -> None:
-        """Given up before the 202, the connection closes; after it, the job is withdrawn."""
+        """Given up before the 202, the connection closes, up or not; after it, the job is withdrawn."""
         self.carried.pop((carried.attempt.job.id, carried.host.id), None)
         task = carried.task
         given_up = outcome in (api.CANCELLED, api.TIMEOUT)
         if task is not None and not carried.taken:
             # A result may come before its 202, for which the connection waits a little.
-            if given_up:
+            if given_up or not carried.attempt.begun:
                 task.cancel()
             else:
                 self.wheel.after(LATE_REPLY, task.cancel)
@@ -205,6 +211,11 @@
             if self._leaving(attempt.worker):  # the list told it while the connection came up
                 self.stats.count("sends_withheld")
                 raise Closed
+            if not attempt.begin():
+                self.stats.count("sends_unwanted")
+                self._rest(carried.host, connection)
+                attempt.end(api.NOT_SENT)
+                return
             idle_for = self.wheel.now() - connection.used_at if connection.used_at else 0.0
             left = max(int((attempt.until - self.wheel.now()) * 1000), 1)
             headers = {"Host": SERVICE, "X-Request-ID": job.id, "X-Timeout-Ms": str(left),
--- a/beaconhinge/request.py
+++ b/beaconhinge/request.py
@@ -120,16 +120,25 @@
     """One send to one worker. The first end counts, whoever reports it; all later ones are passed over."""
 
     def __init__(self, job: Job, number: int, worker: int, sent_at: float, until: float,
-                 tell: Callable[[Step], None]) -> None:
+                 tell: Callable[[Step], None], wanted: Callable[[], bool]) -> None:
         self.job = job
         self.number = number
         self.worker = worker
         self.sent_at = sent_at
         self.until = until  # when it ends without an answer
         self.open = True
+        self.begun = False  # its first byte may have been written
         self.released: Callable[[str], None] = lambda outcome: None  # set by who carries it
         self.timer: Timer | None = None
         self._tell = tell
+        self._wanted = wanted
+
+    def begin(self) -> bool:
+        """Asked right before the first byte, with no wait between: whether somebody waits for an answer.
+        A connection may come up, or a turn of the loop be due, long after the client has gone.
+        """
+        self.begun = self.open and self._wanted()
+        return self.begun
 
     def end(self, outcome: str, body: bytes = b"", load: Mapping[str, float] | None = None) -> None:
         if self.open:
@@ -183,17 +192,20 @@
         self.stats.count(figures.counter(figures.BUSY, self.class_names[job.cls]))
         return Answer(REFUSED, retry_after=self.settings.max_retry_after)
 
-    def take(self, job: Job, watcher: Watcher | None = None) -> Request:
+    def take(self, job: Job, watcher: Watcher | None = None,
+             has_left: Callable[[], bool] = lambda: False) -> Request:
+        """`has_left` tells whether the client has gone, as far as can be seen this moment."""
         # Numbers stay under 2^32 like the simulator's; the module adds to them for its timers.
         self._last = self._last % 0xFFFF0000 + 1
-        request = self.in_hand[job.id] = Request(self, self._last, job, watcher)
+        request = self.in_hand[job.id] = Request(self, self._last, job, watcher, has_left)
         self.stats.count("requests_taken")
         self.stats.spawn(request.live(), "request")
         return request
 
 
 class Request:
-    def __init__(self, all_of_them: Requests, number: int, job: Job, watcher: Watcher | None) -> None:
+    def __init__(self, all_of_them: Requests, number: int, job: Job, watcher: Watcher | None,
+                 has_left: Callable[[], bool]) -> None:
         self.all = all_of_them
         self.number = number
         self.job = job
@@ -202,9 +214,19 @@
         self._steps: asyncio.Queue[Step] = asyncio.Queue()
         self._attempts: list[Attempt] = []
         self._may_have_run = False
+        self._has_left = has_left
+        self._left = False
 
     def client_left(self) -> None:
-        self._steps.put_nowait(ClientLeft())
+        if not self._left:
+            self._left = True
+            self._steps.put_nowait(ClientLeft())
+
+    def wanted(self) -> bool:
+        """Whether somebody waits for the answer still."""
+        if not self._left and self._has_left():
+            self.client_left()
+        return not self._left and not self.answer.done()
 
     async def live(self) -> None:
         core, stats, job = self.all.core, self.all.stats, self.job
@@ -283,12 +305,13 @@
     def _send(self, order: api.Send) -> None:
         now = self.all.wheel.now()
         until = min(self.job.deadline, now + order.timeout if order.timeout > 0 else self.job.deadline)
-        attempt = Attempt(self.job, len(self._attempts), order.worker, now, until, self._steps.put_nowait)
+        attempt = Attempt(self.job, len(self._attempts), order.worker, now, until, self._steps.put_nowait,
+                          self.wanted)
         busy = any(a.open and a.worker == order.worker for a in self._attempts)
         self._attempts.append(attempt)
         self.all.stats.count("attempts")
         one_at_a_time = self.all.stats.holds(not busy, "one_attempt_per_worker")
-        if self.answer.done() or until <= now or not one_at_a_time:
+        if not self.wanted() or until <= now or not one_at_a_time:
             attempt.end(api.NOT_SENT)
             return
         attempt.timer = self.all.wheel.after(until - now, lambda: attempt.end(api.TIMEOUT))
@@ -321,6 +344,9 @@
             return False
         self.answer.set_result(answer)
         self.job.body = b""  # attempts under way hold it as long as they need it
+        for attempt in self._attempts:
+            if not attempt.begun:  # it waits for its connection, and nobody for it
+                attempt.end(api.NOT_SENT)
         self.all.stats.count("answer_" + answer.end)
         if answer.end in FIGURE:
             self.all.stats.count(figures.counter(FIGURE[answer.end], self.all.class_names[self.job.cls]))
--- a/beaconhinge/standin/fleet/world.py
+++ b/beaconhinge/standin/fleet/world.py
@@ -4,7 +4,7 @@
 
 import math
 import random
-from collections import Counter
+from collections import Counter, defaultdict, deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from functools import partial
@@ -29,6 +29,7 @@
 SILENT, DRAINED, HUNG, LOST = 0.2, 0.25, 0.3, 0.3  # parts of the boxes
 BURST, SLOWED, CAUSE = 1.5, 0.6, 5.0  # times the traffic, times the pace of each box, for so many seconds
 GRACE = 0.05  # seconds, as the rules have them on sockets
+WARM_FROM = 0.1  # seconds before the told end of warming up from which on a box is not counted as cold
 OWN_WORD = (api.NO_CONNECTION, api.TIMEOUT, api.CANCELLED)  # outcomes that a dispatcher finds by itself
 Modules = Callable[[api.Settings, int], Dispatcher]
 
@@ -98,6 +99,8 @@
         self.broken: list[str] = []  # rules, in words
         self.wishes: list[Wish] = []
         self.waits: list[float] = []  # from a send to its start
+        # What cold boxes were sent by those that knew of their start: when, and work, by box and start.
+        self.cold: defaultdict[tuple[int, float], deque[tuple[float, float]]] = defaultdict(deque)
         self.reports = Reports(self._started, self._progress, self._ended)
         self.boxes: dict[int, Box] = {}
         self._make_boxes()
@@ -275,6 +278,26 @@
             self.broken.append("more attempts than are allowed")
         if any(a.open and a.box is box for a in request.attempts):
             self.broken.append("two attempts of one request at one box")
+        self._check_cold(request, box)
+
+    def _check_cold(self, request: Request, box: Box) -> None:
+        """The sum of all dispatchers: beyond the N jobs of mean work that the settings allow in the time that
+        they name, twice the root of N and 2 are chance.
+        """
+        told, now, site = request.node.module.settings, self.clock.now, self.plan.site
+        knows = request.node.module.workers[box.id].started_at > 0
+        if not box.started_at or now >= box.started_at + told.warm_within - WARM_FROM or not knows:
+            return
+        self.count["cold_sends"] += 1
+        sent = self.cold[box.id, box.started_at]
+        sent.append((now, request.wish.sort.work * request.wish.slots / site.mean_work))
+        while sent[0][0] < now - told.tip_after:
+            sent.popleft()
+        ramp = told.cold_share + (1 - told.cold_share) * (now - box.started_at) / told.warm_within
+        allowed = told.fall_multiple * ramp * told.tip_after * box.of.cores * box.speed / site.mean_work
+        got = sum(work for _, work in sent)
+        if got > allowed + 2 * math.sqrt(allowed) + 2:
+            self.broken.append(f"a cold box got {got:.1f} jobs of mean work where {allowed:.1f} are allowed")
 
     def _started(self, attempt: Attempt) -> None:
         if attempt.open:
--- a/ospreyroute/decide.py
+++ b/ospreyroute/decide.py
@@ -50,7 +50,7 @@
 SPEED_WEIGHT, SPEED_MEMORY = 0.4, 8.0  # weight of one progress notice; seconds after which speed is forgotten
 UNNOTICED, WAITS = 1.0, 8.0  # seconds, and usual waits, until a job is lost: copies of waiting ones add load
 PRICE = 100.0  # a price of one point in 100 doubles the preference for an idle connection or the own zone
-COLD_MARGIN = 0.75  # part of the cold budget that is used: hints are rough and peers' clocks differ
+COLD_MARGIN = 0.75  # part of the cold budget that is used: each sees lengths, slots and clocks differently
 
 
 @dataclass(slots=True, eq=False)
@@ -324,8 +324,8 @@
 
     def control(self) -> None:
         """Once an interval: cut the fleet rate if too many sends ended 'full', else let it rise."""
-        admitted = sum(b.admitted for b in self.buckets.values())
-        admitted = self.fleet.scale * (admitted + sum(p.admitted for p in self.fleet.peers.values()))
+        own, peers = self.buckets.values(), self.fleet.peers.values()
+        admitted = self.fleet.scale * (sum(b.admitted for b in own) + sum(p.admitted for p in peers))
         demand = self.total_demand()
         if self.fulls >= 3 and self.fulls > FULL_SHARE * self.sends:
             self.rate = CUT * min(self.rate, max(admitted, 1e-3))
@@ -419,8 +419,7 @@
     def suits(self, worker: _Worker, request: _Request) -> float:
         """Long jobs leave some workers to the class with the shortest aim: behind them it is late first."""
         own = peerwire.mix(worker.id + 1) % 1000 < 2000 * self.spent.part(self.hasty) * self.many
-        like = SUITS if own else 1.0
-        return like if request.cls is self.hasty else 1 / like
+        return (SUITS if own else 1.0) ** (1 if request.cls is self.hasty else -1)
 
     def place(self, request: _Request) -> None:
         worker = self.choose(request)
@@ -440,7 +439,8 @@
         if len(pool) > 2 * SAMPLE:  # as good as all of them, at a cost that does not grow
             own = (w for w in self.recent if w.listed and request.cls.kind in (-1, w.kind))
             pool = list(dict.fromkeys([*own, *self.random.choices(pool, k=SAMPLE)]))
-        tried = [a.worker for a in request.attempts if a.open or a is request.attempts[-1]]
+        unsafe = request.cls.semantics == api.FRAGILE  # a late word on the first try there would end a second
+        tried = [a.worker for a in request.attempts if unsafe or a.open or a is request.attempts[-1]]
         shy = self.chance < 1 and self.random.random() >= self.chance
         ready, rest = list[_Worker](), list[_Worker]()
         weights: list[float] = []
@@ -549,33 +549,35 @@
         """How much more than usual a cold worker may have from here; 0 lest it be pushed over."""
         if not self.cold(worker):
             return 1.0
-        told = self.settings
-        age = self.now - worker.started_at
+        told, age = self.settings, self.now - worker.started_at
         ramp = told.cold_share + (1 - told.cold_share) * max(age, 0.0) / told.warm_within
-        late = self.now + request.expected / ramp > request.due
-        if late and self.now < request.start_by:
-            return 0.0  # it would be late there, and need not be elsewhere
+        late = self.now + request.expected / ramp > request.due and self.now < request.start_by
+        if late or worker.started_at < self.started > self.now - told.tip_after:
+            return 0.0  # it need not be late elsewhere; and what an earlier life of this one sent counts
         while worker.sent and worker.sent[0][0] < self.now - told.tip_after:
             worker.sent.popleft()
-        budget = COLD_MARGIN * told.fall_multiple * ramp * self.limit(worker) * told.tip_after
+        slots = min(self.limit(worker), self.limits.get(worker.kind, LIMIT))
+        budget = COLD_MARGIN * told.fall_multiple * ramp * slots * told.tip_after
         owners, rank, size = told.group_size, 0, told.group_size
         if self.many:  # an Nth would be less than a job: a few own it, by a rank that each works out
             owners = min(size, max(1, int(budget / (2 * self.mean_work * (self.pace or 1.0)))))
             rank = (told.own_number - peerwire.mix(worker.id ^ int(worker.started_at))) % size
-        cost = self.slot_seconds(request)
+        cost = self.slot_seconds(request, worker)
         if rank >= owners or sum(load for _, load in worker.sent) + cost > budget / owners:
             return 0.0
         return ramp * size / owners if self.many else 1.0
 
-    def slot_seconds(self, request: _Request) -> float:
-        return request.slots * request.work * (self.pace or 1.0)
+    def slot_seconds(self, request: _Request, worker: _Worker) -> float:
+        mean = self.spent.mean(request.cls, worker.kind)
+        return request.slots * max(mean, request.work * (self.pace or 1.0))
 
     def may_repeat(self, request: _Request, worker: _Worker) -> bool:
         """Rule 2: a job that may have run goes on only where its effect is known to be dropped."""
         cls, first = request.cls, request.ran
         if first is None or cls.semantics == api.RETRYABLE:
             return True
-        if cls.semantics == api.FRAGILE or self.now >= first.sent_at + cls.dedup_window:
+        written = self.now + self.settings.connect_timeout  # at the latest: when its connection is up
+        if cls.semantics == api.FRAGILE or written >= first.sent_at + cls.dedup_window:
             return False
         cell, zone = worker.cell == first.worker.cell, worker.zone == first.worker.zone
         return {"cell": cell, "all": True}.get(cls.dedup_group, zone)
@@ -589,14 +591,13 @@
         if self.has_idle(worker):
             worker.idle.pop()
         if self.cold(worker):
-            worker.sent.append((self.now, self.slot_seconds(request)))
+            worker.sent.append((self.now, self.slot_seconds(request, worker)))
         request.attempts.append(_Attempt(worker, self.now, position=self.out(worker)))
         request.pending += 1
         self.actions.append(api.Send(request.id, worker.id))
 
     def hold(self, request: _Request) -> None:
-        late = self.now >= request.start_by
-        until = self.give_up_at(request)
+        late, until = self.now >= request.start_by, self.give_up_at(request)
         if self.now >= until:
             self.finish(request)  # too little time left to serve it
             return
@@ -665,7 +666,7 @@
                 worker.pace += LEARN * weight * (pace - worker.pace) if worker.pace else pace
                 self.pace += 0.05 * weight * (pace - self.pace) if self.pace else pace
             worker.barred.pop(request.cls, None)
-            self.spent.note(request.cls, pace * request.work * request.slots)
+            self.spent.note(request.cls, worker.kind, pace * request.work, request.slots)
             self.praise(worker, BLAME)
             if free is None and out + request.slots >= self.limit(worker):
                 weight = LEARN if worker.limit else 1.0
@@ -758,8 +759,7 @@
         if span < self.settings.progress / 2 or share < attempt.share:
             return  # told again, or late
         rate, speed = (share - attempt.share) / span, self.speed(worker)
-        full = rate if attempt.full_rate else rate / speed
-        attempt.full_rate = max(attempt.full_rate, full, 1e-6)
+        attempt.full_rate = max(attempt.full_rate, rate if attempt.full_rate else rate / speed, 1e-6)
         attempt.rate, attempt.share, attempt.share_at = rate, share, self.now
         worker.speed = max(speed + SPEED_WEIGHT * (rate / attempt.full_rate - speed), 0.01)
         worker.speed_at = self.now
--- a/ospreyroute/fleet.py
+++ b/ospreyroute/fleet.py
@@ -30,6 +30,7 @@
 LAG = 0.15  # seconds after which an own send shows on the board
 FAR_MOST = 24  # workers on a far board, those that changed most: each byte goes to all
 FAR_AFTER, FAR_GONE = 0.25, 1.0  # seconds between far boards, and after which one tells nothing any more
+ENOUGH, MEANT = 5.0, 200.0  # jobs of a class on a kind from which a mean counts, and that it is taken over
 FORGOTTEN, SMALL_PART = 0.01, 0.35  # of what was served before, with each job; of all work
 RECENT = 0.3  # seconds for which a report is as good as seen
 USUAL = 0.15  # weight of one report in what others have out on a worker as a rule
@@ -160,21 +161,36 @@
 
 
 class Spent:
-    """How much of the work lately served was of each class of jobs, in slot-seconds."""
+    """Work lately served: how much of it was of each class of jobs, and how long a job of a class takes on a
+    kind of worker. Seconds; `work` is what one slot was taken for.
+    """
 
     def __init__(self) -> None:
         self._by_class: defaultdict[Hashable, float] = defaultdict(float)
+        self._jobs: dict[tuple[Hashable, int], tuple[float, float]] = {}  # by class and kind: seconds, jobs
 
-    def note(self, cls: Hashable, work: float) -> None:
+    def note(self, cls: Hashable, kind: int, work: float, slots: float) -> None:
         for other in self._by_class:
             self._by_class[other] *= 1 - FORGOTTEN
-        self._by_class[cls] += work
+        self._by_class[cls] += work * slots
+        # A plain mean, since a smoothed one forgets the few long jobs that make up half of the work.
+        seconds, jobs = self._jobs.get((cls, kind), (0.0, 0.0))
+        keep = 1 - 1 / MEANT if jobs >= MEANT else 1.0
+        self._jobs[cls, kind] = seconds * keep + work, jobs * keep + 1
 
     def part(self, cls: Hashable) -> float:
         """0 where it is not a small one, or the only one, or not known yet."""
         part = self._by_class[cls] / max(sum(self._by_class.values()), 1e-9)
         return part if part < SMALL_PART else 0.0
 
+    def mean(self, cls: Hashable, kind: int) -> float:
+        """Seconds that a job of the class takes on the kind, or on any where few were seen; 0: unknown."""
+        seconds, jobs = self._jobs.get((cls, kind), (0.0, 0.0))
+        if jobs >= ENOUGH:
+            return seconds / jobs
+        told = [entry for (of, _), entry in self._jobs.items() if of == cls]
+        return sum(seconds for seconds, _ in told) / max(sum(jobs for _, jobs in told), 1.0)
+
 
 class Fleet:
     def __init__(self, group_size: int, own_number: int, incarnation: int, report_after: float) -> None:
--- /dev/null
+++ b/tests/test_crossings.py
@@ -0,0 +1,376 @@
+"""Crossings at a connection's end, forced at a named point: which of two things comes first is decided here."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import socket
+import time
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+from stage import Scripted, Stage, job, play, read_message
+
+from beaconhinge.inventory import worker_number
+from beaconhinge.net.frontend import Frontend
+from beaconhinge.net.http1 import Connection
+from beaconhinge.net.sockets import connect
+from ospreyroute import api
+
+FIRST, SECOND = worker_number("s-0"), worker_number("s-1")
+
+
+def scripted(monkeypatch: pytest.MonkeyPatch, *on_job: api.Action, **then: list[api.Action]) -> Scripted:
+    module = Scripted(list(on_job), {getattr(api, name): actions for name, actions in then.items()})
+    monkeypatch.setattr("beaconhinge.__main__.Dispatcher", lambda settings, seed: module)
+    return module
+
+
+async def event(module: Scripted, kind: type) -> Any:
+    while not isinstance(found := await module.events.get(), kind):
+        pass
+    return found
+
+
+def client(scene: Stage) -> socket.socket:
+    """A client that acts in the very moment, without a turn of the loop."""
+    return socket.create_connection(("127.0.0.1", scene.port))
+
+
+async def answer_to(sock: socket.socket) -> bytes:
+    """All that comes up to the end of the connection."""
+    sock.setblocking(False)
+    loop, got = asyncio.get_running_loop(), b""
+    while part := await loop.sock_recv(sock, 65536):
+        got += part
+    return got
+
+
+def before(monkeypatch: pytest.MonkeyPatch, owner: type, name: str, act: Callable[[], object]) -> None:
+    """The act comes right before the first such call, in the same turn."""
+    original, acts = getattr(owner, name), [act]
+
+    def crossed(self: Any, *given: Any, **named: Any) -> Any:
+        if acts:
+            acts.pop()()
+        return original(self, *given, **named)
+
+    monkeypatch.setattr(owner, name, crossed)
+
+
+def after(monkeypatch: pytest.MonkeyPatch, owner: type, name: str, act: Callable[[Any], object]) -> None:
+    original, acts = getattr(owner, name), [act]
+
+    def crossed(self: Any, *given: Any, **named: Any) -> Any:
+        done = original(self, *given, **named)
+        if acts:
+            acts.pop()(self)
+        return done
+
+    monkeypatch.setattr(owner, name, crossed)
+
+
+# ---- a client that has gone -------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("how", ["end", "reset", "more bytes, then the end"])
+def test_an_attempt_that_waits_for_its_connection_ends_with_its_client(
+    monkeypatch: pytest.MonkeyPatch, how: str
+) -> None:
+    """Its dial came up after the client had gone, and brought the whole job."""
+    module, dialled, dropped = scripted(monkeypatch, api.Send(1, FIRST)), asyncio.Event(), asyncio.Event()
+
+    async def never(address: tuple[str, int]) -> socket.socket:
+        dialled.set()
+        try:
+            await asyncio.Event().wait()
+        finally:
+            dropped.set()
+        raise AssertionError
+
+    monkeypatch.setattr("beaconhinge.net.workers.connect", never)
+
+    async def story(scene: Stage) -> None:
+        sock = client(scene)
+        sock.sendall(job())
+        await dialled.wait()
+        if how == "reset":
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+        elif how != "end":
+            sock.sendall(b"POST /render HT")
+        sock.close()
+        async with asyncio.timeout(0.1):
+            ended = await event(module, api.Outcome)
+            await dropped.wait()
+        assert (ended.outcome, ended.settled) == (api.NOT_SENT, True)
+        assert scene.workers[0].connections == 0
+
+    limits = {"connectTimeout": 5.0, "cancel": True, "idleClose": 5.0, "peers": True}
+    from stage import SETTINGS
+
+    play(story, settings={**SETTINGS, "policyLimits": {**SETTINGS["policyLimits"], **limits}})
+
+
+@pytest.mark.parametrize("gone", [True, False])
+def test_a_dial_that_comes_up_as_the_client_goes_brings_nothing_and_is_kept(
+    monkeypatch: pytest.MonkeyPatch, gone: bool
+) -> None:
+    """The client's end lies unread: the first byte would be written before the task that reads it has run."""
+    module, clients = scripted(monkeypatch, api.Send(1, FIRST)), list[socket.socket]()
+
+    async def up(address: tuple[str, int]) -> socket.socket:
+        sock = await connect(address)
+        if gone:
+            clients[0].close()
+        return sock
+
+    monkeypatch.setattr("beaconhinge.net.workers.connect", up)
+
+    async def story(scene: Stage) -> None:
+        clients.append(client(scene))
+        clients[0].sendall(job())
+        if gone:
+            assert (await event(module, api.Outcome)).outcome == api.NOT_SENT
+            assert scene.workers[0].seen.empty()
+            module.on[api.Job] = [api.Send(2, FIRST)]
+            asked = asyncio.create_task(scene.post(X_Request_ID="r2"))
+            assert (await scene.workers[0].seen.get()).headers["x-request-id"] == "r2"
+            asked.cancel()
+        else:
+            await scene.workers[0].seen.get()
+            clients[0].close()  # after its first byte: the attempt keeps its outcome
+            await event(module, api.ClientGone)
+            await scene.news(state="done", result="unread")
+            assert (await event(module, api.Outcome)).outcome == api.SERVED
+        assert scene.workers[0].connections == 1
+
+    play(story)
+
+
+def test_an_answer_ends_the_attempts_that_still_wait_for_their_connections(
+    monkeypatch: pytest.MonkeyPatch
+) -> None:
+    module, dialled = scripted(monkeypatch, api.Send(1, FIRST), api.Send(1, SECOND)), asyncio.Event()
+
+    async def story(scene: Stage) -> None:
+        async def one_only(address: tuple[str, int]) -> socket.socket:
+            if address[1] == scene.workers[1].port:
+                dialled.set()
+                await asyncio.Event().wait()
+            return await connect(address)
+
+        monkeypatch.setattr("beaconhinge.net.workers.connect", one_only)
+        asked = asyncio.create_task(scene.post())
+        await scene.workers[0].seen.get()
+        await dialled.wait()
+        await scene.news(state="done", result="first")
+        assert (await asked).body == b"first"
+        ended = {(found := await event(module, api.Outcome)).worker: found.outcome for _ in range(2)}
+        assert ended == {FIRST: api.SERVED, SECOND: api.NOT_SENT}
+        assert scene.workers[1].connections == 0
+
+    play(story, workers=2)
+
+
+# ---- bytes that come as a connection is shut or closed ----------------------------------------------------
+
+
+def test_no_turn_sees_a_connection_at_rest_whose_bytes_have_been_read() -> None:
+    """The loop's own call read them in one turn and returned in the next: in between neither the socket nor the
+    parser showed them, and the connection was closed over a request that had been taken.
+    """
+
+    async def run() -> None:
+        loop, (ours, theirs) = asyncio.get_running_loop(), socket.socketpair()
+        ours.setblocking(False)
+        connection = Connection(ours, True, lambda: None)
+        reading = asyncio.create_task(connection.next())
+        await asyncio.sleep(0.01)  # it waits
+        looks: list[bool] = []
+
+        def look() -> None:
+            looks.append(connection.silent() and not connection.partial and not reading.done())
+            if not reading.done():
+                loop.call_soon(look)
+
+        loop.call_soon(look)
+        await asyncio.sleep(0)
+        looks.clear()
+        theirs.sendall(job())
+        await reading
+        assert looks and not any(looks)
+        connection.close()
+        theirs.close()
+
+    import uvloop
+
+    uvloop.run(run())
+
+
+@pytest.mark.parametrize("first", ["request", "shutdown"])
+def test_a_request_that_crosses_the_parting_is_answered_or_comes_again(
+    monkeypatch: pytest.MonkeyPatch, first: str
+) -> None:
+    """A client rests until the dispatcher parts with it, and sends in that very moment."""
+
+    async def story(scene: Stage) -> None:
+        sock = client(scene)
+        sock.sendall(b"GET /up HTTP/1.1\r\n\r\n")
+        await asyncio.sleep(0.05)
+        assert sock.recv(4096).startswith(b"HTTP/1.1 200")
+        if first == "request":
+            before(monkeypatch, Frontend, "_close_idle_clients", lambda: sock.sendall(job()))
+        else:
+            after(monkeypatch, Connection, "end", lambda _: sock.sendall(job()))
+        await scene.stop()
+        if first == "request":
+            await scene.workers[0].seen.get()
+            await scene.news(state="done", result="taken")
+            got = await answer_to(sock)
+            assert got.startswith(b"HTTP/1.1 200") and got.endswith(b"taken")
+        else:
+            assert await answer_to(sock) == b""  # an end, no reset: it sends that once more elsewhere
+            assert scene.workers[0].seen.empty()
+        sock.close()
+        await scene.running
+        assert scene.workers[0].seen.empty()
+
+    play(story)
+
+
+def test_what_a_resting_client_sends_at_the_very_end_is_not_sent_on(monkeypatch: pytest.MonkeyPatch) -> None:
+    """It came after the last look, and was read, sent on and lost with the process."""
+
+    async def story(scene: Stage) -> None:
+        asked = asyncio.create_task(scene.post())
+        await scene.workers[0].seen.get()
+        await scene.stop()
+        await asyncio.sleep(0.7)  # clients are refused by now
+        sock = client(scene)
+        await asyncio.sleep(0.05)
+        after(monkeypatch, Frontend, "_see_off", lambda _: sock.sendall(job(X_Request_ID="r2")))
+        await scene.news(state="done", result="kept")
+        assert (await asked).body == b"kept"
+        assert await answer_to(sock) == b""
+        sock.close()
+        await scene.running
+        assert scene.workers[0].seen.empty()
+
+    play(story)
+
+
+def test_who_comes_as_the_listener_closes_gets_an_answer(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Taken from the backlog, it had sent nothing yet, and the process ended over it."""
+
+    async def story(scene: Stage) -> None:
+        late = list[socket.socket]()
+        before(monkeypatch, Frontend, "_stop_listening", lambda: late.append(client(scene)))
+        await scene.stop()
+        while not late:
+            await asyncio.sleep(0.005)
+        await asyncio.sleep(0.03)  # on its way
+        assert not scene.running.done()  # the end would close it unheard
+        late[0].sendall(job())
+        assert (await answer_to(late[0])).startswith(b"HTTP/1.1 503")
+        late[0].close()
+        await scene.running
+
+    play(story)
+
+
+def test_the_end_waits_for_clients_that_never_close_no_longer_than_its_bound(
+    monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr("beaconhinge.net.frontend.LINGER", 0.2)
+
+    async def story(scene: Stage) -> None:
+        sock = client(scene)
+        await asyncio.sleep(0.05)
+        await scene.stop()
+        os.kill(os.getpid(), signal.SIGTERM)  # a second one changes nothing
+        async with asyncio.timeout(0.45 + 0.15 + 0.2 + 0.5):
+            await scene.running
+        sock.close()
+
+    play(story)
+
+
+def test_for_room_nobody_is_closed_whose_request_lies_unread(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Who had sent no whole message yet, as far as was read, was closed over one that had come."""
+
+    async def story(scene: Stage) -> None:
+        crowd = [client(scene) for _ in range(29)]  # 64 descriptors leave 30 to clients
+        await asyncio.sleep(0.2)  # none of them is fresh any more
+        before(monkeypatch, Frontend, "_close_one", lambda: crowd[0].sendall(job(X_Timeout_Ms="300")))
+        newcomer = asyncio.create_task(scene.post("/render", X_Request_ID="r2", X_Timeout_Ms="300"))
+        got = await answer_to(crowd[1])  # the next one had to go
+        assert got == b""
+        assert (await newcomer).status == 503
+        crowd[0].setblocking(False)
+        part = await asyncio.get_running_loop().sock_recv(crowd[0], 4096)
+        assert part.startswith(b"HTTP/1.1 503")
+        for sock in crowd:
+            sock.close()
+
+    play(story, limits={"sockets": 64})
+
+
+def test_a_first_message_that_came_while_this_process_was_late_is_read(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The timer for it was due first, and the connection was closed over the unread request."""
+    monkeypatch.setattr("beaconhinge.net.frontend.FIRST_MESSAGE", 0.1)
+
+    async def story(scene: Stage) -> None:
+        sock = client(scene)
+        await asyncio.sleep(0.05)
+        sock.sendall(b"GET /up HTTP/1.1\r\n\r\n")
+        time.sleep(0.2)  # holds up the loop
+        sock.setblocking(False)
+        part = await asyncio.get_running_loop().sock_recv(sock, 4096)
+        assert part.startswith(b"HTTP/1.1 200")
+        sock.close()
+
+    play(story)
+
+
+def test_a_worker_that_sends_half_a_line_on_a_resting_connection_gets_no_job_there() -> None:
+    async def story(scene: Stage) -> None:
+        asked = asyncio.create_task(scene.post())
+        await scene.workers[0].seen.get()
+        await scene.news(state="done", result="one")
+        assert (await asked).body == b"one"
+        for writer in scene.workers[0].open:
+            writer.write(b"HTTP/1.1 20")
+        asked = asyncio.create_task(scene.post(X_Request_ID="r2"))
+        await scene.workers[0].seen.get()
+        assert scene.workers[0].connections == 2
+        await scene.news(id="r2", state="done", result="two")
+        assert (await asked).body == b"two"
+
+    play(story)
+
+
+def test_news_on_a_connection_that_rests_past_the_end_are_answered() -> None:
+    """A worker's call-back comes on a connection that was there before SIGTERM."""
+
+    async def story(scene: Stage) -> None:
+        reader, writer = await scene.open()
+        body = b'{"id": "nobody", "from": "s-0", "state": "started"}'
+        call = b"POST /_jobs/news HTTP/1.1\r\nContent-Length: %d\r\n\r\n" % len(body) + body
+        writer.write(call)
+        assert (await read_message(reader)).status == 204
+        asked = asyncio.create_task(scene.post())
+        await scene.workers[0].seen.get()
+        await scene.stop()
+        await asyncio.sleep(0.7)
+        body = body.replace(b"nobody", b"r1").replace(b'"started"', b'"done", "result": "kept"')
+        writer.write(b"POST /_jobs/news HTTP/1.1\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+        assert (await read_message(reader)).status == 204
+        assert (await asked).body == b"kept"
+        writer.close()
+        await scene.running
+
+    play(story)
+
+
