Ask a silent agent often enough for its return; share small cold budgets among few owners

Seen: where lists are pushed a silent call had up to 1.2 s, while what the agent has at its return counts at once and drains have 0.4 s after that (membership.py, AGENT_MOST): now 0.2 s, and 0.1 s to the next, for some 20 s. Owners go by powers of two: counted exactly, each saw another number of them.

--- a/beaconhinge/membership.py
+++ b/beaconhinge/membership.py
@@ -17,7 +17,10 @@
 REST = 1.0  # from the first byte of an answer to its last: some never end
 ANSWER = 2.0  # for a call that does not wait: given up, it is worked on all the same, and comes again on top
 ANSWER_SILENT = 1.0  # the same right after a silent watch, whose news count as told soon
-AGENT_ANSWER, AGENT_MOST = 0.3, 1.2  # the same where an agent at hand has the list
+# The same where an agent at hand has the list. While discovery is away it is silent, and what it has at the
+# return counts at once, so that a silent call and the pause after it stay within the grace for drains. It is
+# slow, not silent, when it has not answered AGENT_SLOW calls, in some 20 s: then they have up to AGENT_MOST.
+AGENT_ANSWER, AGENT_MOST, AGENT_SLOW = 0.2, 0.8, 60
 PAUSE = 0.05  # from an answer to the next call, of 0.2 allowed: bounds calls answered at once
 AGAIN_AGENT = 0.1  # between calls to an agent: what it gets counts as told at once
 AGAIN_SILENT = 0.5  # within which a call comes again that was to follow a silent watch
@@ -93,7 +96,7 @@
         if wait:
             patience = wait + SILENT
         elif self.pushed:
-            patience = min(AGENT_ANSWER * 2**min(self._failures, 8), AGENT_MOST)
+            patience = min(AGENT_ANSWER * 2**min(self._failures // AGENT_SLOW, 8), AGENT_MOST)
         else:
             patience = ANSWER_SILENT if self._silent else ANSWER
         self._call = Call(index, wait, patience)
@@ -126,7 +129,7 @@
         watched, self._watching = self._call.wait > 0, False
         self._failures += 1
         if self.pushed:
-            return AGAIN_AGENT * (0.5 + chance)
+            return AGAIN_AGENT * (0.5 + chance / 2)
         if watched and silent:  # each watch ends at its own time, so that nobody comes in step
             self._silent = True
             return 0.0
--- a/ospreyroute/decide.py
+++ b/ospreyroute/decide.py
@@ -558,14 +558,14 @@
             worker.sent.popleft()
         slots = min(self.limit(worker), self.limits.get(worker.kind, LIMIT))
         budget = COLD_MARGIN * told.fall_multiple * ramp * slots * told.tip_after
-        owners, rank, size = told.group_size, 0, told.group_size
-        if self.many:  # an Nth would be less than a job: a few own it, by a rank that each works out
-            owners = min(size, max(1, int(budget / (2 * self.mean_work * (self.pace or 1.0)))))
-            rank = (told.own_number - peerwire.mix(worker.id ^ int(worker.started_at))) % size
+        # Where an Nth is less than a job few own it, by a rank that each works out; how many, all see alike.
+        size, parts = told.group_size, max(1, int(budget / (2 * self.mean_work * (self.pace or 1.0))))
+        owners = min(size, 1 << parts.bit_length() - 1)
+        rank = (told.own_number - peerwire.mix(worker.id ^ int(worker.started_at))) % size
         cost = self.slot_seconds(request, worker)
         if rank >= owners or sum(load for _, load in worker.sent) + cost > budget / owners:
             return 0.0
-        return ramp * size / owners if self.many else 1.0
+        return ramp * size / owners if owners < size else 1.0
 
     def slot_seconds(self, request: _Request, worker: _Worker) -> float:
         mean = self.spent.mean(request.cls, worker.kind)
--- a/tests/test_sites.py
+++ b/tests/test_sites.py
@@ -89,3 +89,13 @@
     world = played(trouble="hang", dispatchers=6, boxes=12, seconds=20.0)
     assert hit(world)
     assert min(classes(world).values()) > 0.86, classes(world)
+
+
+@pytest.mark.parametrize("dispatchers", [5, 8])
+def test_a_handful_uses_cold_boxes_whose_budget_is_less_than_a_job_for_each(dispatchers: int) -> None:
+    """A fifth of it was no job, so that nobody sent: the boxes stood idle until they counted as warm."""
+    world = played(site=LONG_JOBS, peers=False, trouble="join", dispatchers=dispatchers, boxes=10, load=0.7, at=3.0,
+                   seconds=20.0)
+    assert world.broken == []
+    assert world.count["cold_sends"] > 25
+    assert min(classes(world).values()) > 0.75, classes(world)
