--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -3,15 +3,20 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import os
+import resource
 import signal
 import socket
+import subprocess
+import sys
 import time
 from collections.abc import Callable
+from pathlib import Path
 from typing import Any
 
 import pytest
-from stage import Scripted, Stage, job, play, read_message
+from stage import SETTINGS, Scripted, Seen, Stage, free_port, job, play, read_message, reply
 
 from beaconhinge.inventory import worker_number
 from beaconhinge.net.frontend import Frontend
@@ -19,6 +24,7 @@
 from beaconhinge.net.sockets import connect
 from ospreyroute import api
 
+ROOT = Path(__file__).resolve().parent.parent
 FIRST, SECOND = worker_number("s-0"), worker_number("s-1")
 
 
@@ -108,8 +114,6 @@
         assert scene.workers[0].connections == 0
 
     limits = {"connectTimeout": 5.0, "cancel": True, "idleClose": 5.0, "peers": True}
-    from stage import SETTINGS
-
     play(story, settings={**SETTINGS, "policyLimits": {**SETTINGS["policyLimits"], **limits}})
 
 
@@ -374,3 +378,71 @@
     play(story)
 
 
+# ---- descriptors ------------------------------------------------------------------------------------------
+
+
+def test_idle_clients_that_take_all_descriptors_while_discovery_is_away_do_not_keep_its_news_out() -> None:
+    async def story(scene: Stage) -> None:
+        away = asyncio.Event()
+
+        async def script(message: Seen) -> bytes | None:
+            if not away.is_set():
+                return None
+            if "wait=0" not in message.start:
+                await asyncio.Event().wait()
+            told = {"version": 1, "full": False, "servers": [scene.host(0, state="Terminating")]}
+            return reply(200, json.dumps(told).encode())
+
+        scene.discovery.script = script
+        scene.discovery.cut()
+        crowd = [client(scene) for _ in range(60)]  # of 64 descriptors
+        await asyncio.sleep(0.3)
+        away.set()
+        while "index=1" not in (await scene.discovery.seen.get()).start:
+            pass
+        for number in range(4):
+            asked = asyncio.create_task(scene.post(X_Request_ID=f"r{number}"))
+            await scene.workers[1].seen.get()
+            await scene.news(1, id=f"r{number}", state="done", result="x")
+            assert (await asked).status == 200
+        assert scene.workers[0].seen.empty()
+        for sock in crowd:
+            sock.close()
+
+    play(story, workers=2, limits={"sockets": 64})
+
+
+def test_descriptors_that_are_short_after_all_do_not_spin_and_come_back(tmp_path: Path) -> None:
+    """The platform may allow fewer than the configuration says: then accepting fails."""
+    port = free_port()
+    given = {"name": "n0", "listen": f"127.0.0.1:{port}", "discovery": f"127.0.0.1:{free_port()}",
+             "settings": SETTINGS, "known": {"version": 1, "servers": []}}
+    (tmp_path / "config.json").write_text(json.dumps(given))
+    few = lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (40, 40))  # noqa: E731
+    program = subprocess.Popen([sys.executable, "-O", "-m", "beaconhinge"], cwd=ROOT, stderr=subprocess.PIPE,
+                               env={"RELAY_CONFIG": str(tmp_path / "config.json")}, preexec_fn=few)
+    assert program.stderr is not None
+    try:
+        while b" started " not in program.stderr.readline():
+            pass
+        crowd = [socket.create_connection(("127.0.0.1", port)) for _ in range(60)]
+        while b" accept_failed " not in program.stderr.readline():
+            pass
+
+        def used() -> float:
+            fields = Path(f"/proc/{program.pid}/stat").read_text().rpartition(")")[2].split()
+            return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+        before_it = used()
+        time.sleep(1.0)
+        assert used() - before_it < 0.4  # of a core
+        for sock in crowd:
+            sock.close()
+        with socket.create_connection(("127.0.0.1", port)) as sock:
+            sock.settimeout(5)
+            sock.sendall(b"GET /up HTTP/1.1\r\n\r\n")
+            assert sock.recv(100).startswith(b"HTTP/1.1 503")  # no worker is known
+    finally:
+        program.terminate()
+        program.wait(10)
+        program.stderr.close()
