--- a/tests/stage.py
+++ b/tests/stage.py
@@ -13,6 +13,7 @@
 from pathlib import Path
 from typing import Any
 
+import pytest
 import uvloop
 
 from beaconhinge.__main__ import serve
@@ -220,3 +221,15 @@
         if not isinstance(event, (api.Start, api.Membership)):
             self.events.put_nowait(event)
         return self.on.pop(type(event), [api.Subscribe()] if isinstance(event, api.Start) else [])
+
+
+def scripted(monkeypatch: pytest.MonkeyPatch, *on_job: api.Action, **then: list[api.Action]) -> Scripted:
+    module = Scripted(list(on_job), {getattr(api, name): actions for name, actions in then.items()})
+    monkeypatch.setattr("beaconhinge.__main__.Dispatcher", lambda settings, seed: module)
+    return module
+
+
+async def event(module: Scripted, kind: type) -> Any:
+    while not isinstance(found := await module.events.get(), kind):
+        pass
+    return found
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -16,7 +16,7 @@
 from typing import Any
 
 import pytest
-from stage import SETTINGS, Scripted, Seen, Stage, free_port, job, play, read_message, reply
+from stage import SETTINGS, Seen, Stage, event, free_port, job, play, read_message, reply, scripted
 
 from beaconhinge.inventory import worker_number
 from beaconhinge.net.frontend import Frontend
@@ -28,18 +28,6 @@
 FIRST, SECOND = worker_number("s-0"), worker_number("s-1")
 
 
-def scripted(monkeypatch: pytest.MonkeyPatch, *on_job: api.Action, **then: list[api.Action]) -> Scripted:
-    module = Scripted(list(on_job), {getattr(api, name): actions for name, actions in then.items()})
-    monkeypatch.setattr("beaconhinge.__main__.Dispatcher", lambda settings, seed: module)
-    return module
-
-
-async def event(module: Scripted, kind: type) -> Any:
-    while not isinstance(found := await module.events.get(), kind):
-        pass
-    return found
-
-
 def client(scene: Stage) -> socket.socket:
     """A client that acts in the very moment, without a turn of the loop."""
     return socket.create_connection(("127.0.0.1", scene.port))
--- a/tests/test_lifecycle.py
+++ b/tests/test_lifecycle.py
@@ -4,10 +4,9 @@
 
 import asyncio
 import time
-from typing import Any
 
 import pytest
-from stage import Scripted, Seen, Stage, job, play, reply
+from stage import Seen, Stage, event, job, play, reply, scripted
 
 from beaconhinge.inventory import worker_number
 from ospreyroute import api
@@ -20,18 +19,6 @@
     return None
 
 
-def scripted(monkeypatch: pytest.MonkeyPatch, *on_job: api.Action, **then: list[api.Action]) -> Scripted:
-    module = Scripted(list(on_job), {getattr(api, name): actions for name, actions in then.items()})
-    monkeypatch.setattr("beaconhinge.__main__.Dispatcher", lambda settings, seed: module)
-    return module
-
-
-async def event(module: Scripted, kind: type) -> Any:
-    while not isinstance(found := await module.events.get(), kind):
-        pass
-    return found
-
-
 def test_a_cancel_before_the_202_closes_the_connection(monkeypatch: pytest.MonkeyPatch) -> None:
     module = scripted(monkeypatch, api.Send(1, FIRST), api.SetTimer(9, 0.05), Timer=[api.Cancel(1, 0)],
                       Outcome=[api.Abort(1)])
