--- a/tests/test_sites.py
+++ b/tests/test_sites.py
@@ -93,9 +93,12 @@
 
 @pytest.mark.parametrize("dispatchers", [5, 8])
 def test_a_handful_uses_cold_boxes_whose_budget_is_less_than_a_job_for_each(dispatchers: int) -> None:
-    """A fifth of it was no job, so that nobody sent: the boxes stood idle until they counted as warm."""
-    world = played(site=LONG_JOBS, peers=False, trouble="join", dispatchers=dispatchers, boxes=10, load=0.7, at=3.0,
-                   seconds=20.0)
-    assert world.broken == []
-    assert world.count["cold_sends"] > 25
-    assert min(classes(world).values()) > 0.75, classes(world)
+    """A fifth of it was no job, so that few were sent: the boxes stood idle until they counted as warm. Over six days,
+    since one has too few jobs of a class to tell: of the shortest 0.74 to 0.91 are in time on a day.
+    """
+    worlds = [played(site=LONG_JOBS, peers=False, trouble="join", dispatchers=dispatchers, boxes=10, load=0.7, at=3.0,
+                     seconds=20.0, seed=seed) for seed in range(1, 7)]
+    assert [world.broken for world in worlds] == [[]] * 6
+    assert sum(world.count["cold_sends"] for world in worlds) > 180
+    days = [classes(world) for world in worlds]
+    assert min(sum(day[name] for day in days) / 6 for name in days[0]) > 0.78, days
