--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -343,6 +343,39 @@
     play(story)
 
 
+@pytest.mark.parametrize("endless", [
+    b"HTTP/1.1 202 X\r\nX-", b"HTTP/1.1 202 X\r\nContent-Length: 400\r\n\r\nhalf",
+    b"HTTP/1.1 202 X\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhalf"])
+def test_a_workers_answer_without_end_costs_neither_its_result_nor_the_next_job(endless: bytes) -> None:
+    async def spoilt(message: Seen) -> bytes | None:
+        return endless if message.headers["x-request-id"] == "r1" else reply(202)
+
+    async def story(scene: Stage) -> None:
+        for number, name in enumerate(("r1", "r2")):
+            asked = asyncio.create_task(scene.post(X_Request_ID=name))
+            assert (await scene.workers[0].seen.get()).headers["x-request-id"] == name
+            assert scene.workers[0].connections == number + 1  # the second comes on a connection of its own
+            await scene.news(id=name, state="done", result=name)
+            assert (await asked).body == name.encode()
+
+    play(story, spoilt)
+
+
+def test_a_reset_long_after_the_202_costs_the_job_nothing() -> None:
+    async def story(scene: Stage) -> None:
+        asked = asyncio.create_task(scene.post())
+        await scene.workers[0].seen.get()
+        await scene.news(state="started")
+        await asyncio.sleep(0.05)  # the 202 is read
+        scene.workers[0].cut()
+        await asyncio.sleep(0.05)
+        await scene.news(state="done", result="kept")
+        assert (await asked).body == b"kept"
+        assert scene.workers[0].seen.empty()  # no second attempt
+
+    play(story)
+
+
 def test_news_on_a_connection_that_rests_past_the_end_are_answered() -> None:
     """A worker's call-back comes on a connection that was there before SIGTERM."""
 
