Rehearsals: judge service after a fault by jobs, not tries; a fault lasts until it hit

Cause, by listing the tries after the last fault over 12 plays, alone and beside 12 busy loops: every plain job was served (23 of 23 each time). What failed were (1) tries with a key whose client came again for a job first asked before or in the faults (5 to 7 of ~50, refused: the key may have run), counted up to three times each, and (2) jobs drawn longer than the 1.2 s that their client gives a try. And where processes start slowly, the cut of 2.5 s is over before the first datagram: faults are by the clock, starts are not. Ruled out: refusals of new jobs after the return (none), a process that does not come back (phase_normal 3 of 3).

Change: served_before and served_after count each job once, in the span in which it was first asked, by any of its tries; plain_after says the same of jobs without a key. The bars are 0.75 and 0.9 (before: one of 0.7 by tries), so a fleet that serves its plain jobs badly fails now where it passed. A fault of links lasts up to 10 s beyond its end while it has hit nothing, and the story goes on for as long as a fault was late.

--- a/beaconhinge/standin/rig/clients.py
+++ b/beaconhinge/standin/rig/clients.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 import time
+from collections.abc import Callable
 
 from ...net import http1
 from ...net.http1 import BadMessage, Closed
@@ -18,8 +19,10 @@
 
 
 class Clients:
-    def __init__(self, story: Story, ports: list[int]) -> None:
+    def __init__(self, story: Story, ports: list[int], late: Callable[[], float]) -> None:
+        """`late`: seconds for which they go on asking beyond the story's own end."""
         self.story = story
+        self.late = late
         self.random = random.Random(story.seed)
         self.callers = [Caller(port) for port in ports]
         self.tries: list[Asked] = []
@@ -31,7 +34,7 @@
         due = loop.time()
         end = due + story.seconds
         greedy = story.greedy * story.quota_rps
-        while (due := due + self.random.expovariate(story.rate + greedy)) < end:
+        while (due := due + self.random.expovariate(story.rate + greedy)) < end + self.late():
             tenant = "south" if greedy and self.random.random() * (story.rate + greedy) < greedy else "north"
             keyed = tenant == "north" and self.random.random() < story.keyed
             number = f"{self.random.getrandbits(64):016x}"
--- a/beaconhinge/standin/rig/play.py
+++ b/beaconhinge/standin/rig/play.py
@@ -29,7 +29,7 @@
 from .links import Links
 from .process import Process
 from .story import Fault, Story, draw
-from .verdict import Act, Verdict, benched, collisions, run_twice, share, unexcused
+from .verdict import Act, Verdict, benched, collisions, run_twice, served, share, unexcused
 
 WINDOW = 40.0  # seconds in which a rack drops a repeat
 SETTLED = 1.0  # seconds after the last answer, in which what a fault left behind shows
@@ -39,6 +39,7 @@
 HELD_AGAIN = 3.0  # spans after the last fault, and a second, by which a lease has a holder again
 SILENT_TOLD = 6.0  # seconds after which what a silent watch misses counts as told
 DRAIN_GRACE = 0.45  # seconds in which sends to a leaving box have to stop, with the slack of the page
+LONGER = 10.0  # seconds that a fault of links lasts beyond its end while it has hit nothing
 ORPHANED = 2.0  # seconds after a return, when jobs of the old life are counted that boxes still run
 
 
@@ -53,6 +54,9 @@
         self._silent: dict[int, float] = {}  # when the watch of a dispatcher fell silent
         self._away: dict[int, list[tuple[float, float]]] = {}  # spans in which its discovery was out
         self.orphans = 0
+        self._counting: list[asyncio.Task[None]] = []
+        self._lasting = list(story.faults)
+        self._late = 0.0  # seconds by which a fault that is over ended later than planned
         self.acts: list[Act] = []
         self.leases = [f"export-{number}" for number in range(story.leases)]
         self.resource: asyncio.subprocess.Process | None = None
@@ -74,7 +78,7 @@
                       for i in range(count)]
         self.processes = [Process(i, ports[i], folder / f"n{i}", self._platform(i, ports[i], real[i]),
                                   self._ours()) for i in range(count)]
-        self.clients = Clients(story, ports)
+        self.clients = Clients(story, ports, self.late)
         self.began = 0.0
 
     def _platform(self, number: int, port: int, listen: tuple[str, int]) -> dict[str, object]:
@@ -112,6 +116,7 @@
             faults = [asyncio.create_task(self._fault(fault)) for fault in self.story.faults]
             asking = asyncio.create_task(self.clients.run())
             await asyncio.gather(asking, *faults)
+            await asyncio.gather(*self._counting)
             await asyncio.sleep(SETTLED)
             self.statuses += await asyncio.gather(*(p.end(signal.SIGTERM) for p in self.processes))
         finally:
@@ -161,6 +166,14 @@
         self.events.append(line)
         self.told(line)
 
+    def late(self) -> float:
+        """Seconds by which a fault ends later than planned: a slow machine takes long to start a process.
+
+        The story goes on for as much longer, so that what comes after the faults is as long as it was meant.
+        """
+        now = time.monotonic() - self.began
+        return max(0.0, self._late, *(now - fault.at_s - fault.for_s for fault in self._lasting))
+
     async def _fault(self, fault: Fault) -> None:
         await asyncio.sleep(max(0.0, self.began + fault.at_s - time.monotonic()))
         who = self.story.hit(fault)
@@ -169,6 +182,8 @@
                 "lossy": self._drop, "discovery": self._no_discovery, "mute": self._mute,
                 "drain": self._drain}[fault.what]
         self.hits[fault.what] += await play(fault, who)
+        self._late = self.late()
+        self._lasting.remove(fault)
         self._say(f"{fault.what} {','.join(map(str, who))} is over")
 
     async def _stop(self, fault: Fault, who: list[int]) -> int:
@@ -197,12 +212,16 @@
             elif fault.folder == "other":
                 process.take(self.processes[process.number - 1].folder / "store")
         await asyncio.gather(*(process.start() for process in hit))
-        await asyncio.sleep(ORPHANED if fault.what == "kill" else 0.0)
-        self.orphans += sum(job in box.held for box, job in old) if fault.what == "kill" else 0
+        if fault.what == "kill":
+            self._counting.append(asyncio.create_task(self._count(old)))
         return len(hit)
 
+    async def _count(self, old: list[tuple[Box, tuple[int, str]]]) -> None:
+        await asyncio.sleep(ORPHANED)
+        self.orphans += sum(job in box.held for box, job in old)
+
     async def _drop(self, fault: Fault, who: list[int]) -> int:
-        """The datagrams that it took."""
+        """The datagrams that it took. While it has taken none, it lasts up to LONGER beyond its end."""
         before, ways = self.links.counters["dropped"], list[tuple[int, int]]()
         if fault.what == "cut":
             ways = [(i, j) for i in who for j in fault.to or range(self.story.processes) if i != j]
@@ -210,6 +229,9 @@
         else:
             self.links.loss.update(dict.fromkeys(who, fault.part))
         await asyncio.sleep(fault.for_s)
+        until = time.monotonic() + (LONGER if ways or fault.what == "lossy" else 0.0)
+        while self.links.counters["dropped"] == before and time.monotonic() < until:
+            await asyncio.sleep(0.02)
         self.links.cut.subtract(ways)
         if fault.what == "lossy":
             for number in who:
@@ -283,7 +305,8 @@
         for process in self.processes:
             counters.update(process.counters)
         first = min((f.at_s for f in story.faults), default=story.seconds)
-        last = max((f.at_s + f.for_s for f in story.faults), default=0.0)
+        last = max((f.at_s + f.for_s for f in story.faults), default=0.0) + self._late
+        end = self.began + story.seconds + self._late
         lost = unexcused(tries, [process.stood for process in self.processes], GRACE)
         twice = run_twice({key: runs[key] for key in self.clients.answered})
         broken = [f"no answer from dispatcher {t.dispatcher} to a {t.cls}" for t in lost[:5]]
@@ -310,8 +333,9 @@
         return Verdict(
             story.name, story.seed, len(tries), dict(sorted(ends.items())), len(self.clients.answered),
             sum(not done for done in self.clients.answered.values()), runs.total(), dict(blamed),
-            dict(self.hits), dict(sorted(counters.items())), share(tries, self.began, self.began + first),
-            share(tries, self.began + last + AFTER, self.began + story.seconds),
+            dict(self.hits), dict(sorted(counters.items())),
+            served(tries, self.began, self.began + first), served(tries, self.began + last + AFTER, end),
+            served([t for t in tries if not t.key], self.began + last + AFTER, end),
             share(within, back, back + FIRST), greedy / (FIRST * story.quota_rps),
             sum(act.accepted for act in self.acts), len({(act.lease, act.number) for act in self.acts}),
             sum(not act.accepted for act in self.acts), self.orphans, broken,
--- a/beaconhinge/standin/rig/verdict.py
+++ b/beaconhinge/standin/rig/verdict.py
@@ -46,8 +46,9 @@
     benched: dict[str, int]  # healthy boxes that a dispatcher benched: how often
     faults: dict[str, int]  # what faults hit, by kind
     counters: dict[str, int]  # of all dispatchers
-    served_before: float  # part of the tries served before the first fault, and after the last
-    served_after: float
+    served_before: float  # part of the jobs served that were first asked before the first fault,
+    served_after: float  # and after the last
+    plain_after: float  # the same as `served_after`, of the jobs without a key, which come once
     first_share: float  # of the tries within quota in the 5 s after the last fault, served
     greedy_share: float  # what the tenant beyond its quota got then, in quotas
     acts: int  # under a lease, and the tenures that they were of
@@ -97,3 +98,16 @@
 def share(asked: Sequence[Asked], since: float, until: float) -> float:
     within = [try_ for try_ in asked if since <= try_.at < until]
     return sum(try_.end == "200" for try_ in within) / max(1, len(within))
+
+
+def served(asked: Sequence[Asked], since: float, until: float) -> float:
+    """Part of the jobs first asked in a span that one of their tries brought back. A job with a key comes
+    again: counted by tries, one that a fault lost before the span would fail in it up to three times.
+    """
+    jobs, at = dict[object, bool](), dict[object, float]()
+    for number, try_ in enumerate(asked):
+        job = try_.key or number
+        at.setdefault(job, try_.at)
+        jobs[job] = jobs.get(job, False) or try_.end == "200"
+    within = [done for job, done in jobs.items() if since <= at[job] < until]
+    return sum(within) / max(1, len(within))
--- a/tests/recovery/test_rehearsals.py
+++ b/tests/recovery/test_rehearsals.py
@@ -11,7 +11,7 @@
 from beaconhinge.cli import main
 from beaconhinge.standin.rig import Fault, Story, StoryError, Verdict, play, read
 from beaconhinge.standin.rig.play import Play
-from beaconhinge.standin.rig.verdict import Asked, benched, run_twice, unexcused
+from beaconhinge.standin.rig.verdict import Asked, benched, run_twice, served, unexcused
 
 SMALL = {"processes": 4, "boxes": 6, "slots": 8, "rate": 50.0, "render_s": 0.15, "publish_s": 0.4,
          "patience_s": 0.8, "seconds": 6.0}
@@ -44,7 +44,7 @@
         assert verdict.broken == [], (story.name, verdict.last)
         assert verdict.counters["stalls"] >= len([f for f in story.faults if f.what == "stop"])
         assert verdict.counters["datagrams_stale"] > 0 or story.name == "all at once"
-        assert verdict.served_after > 0.7 and verdict.asked > 150
+        assert verdict.served_after > 0.75 and verdict.plain_after > 0.9 and verdict.asked > 150, story.name
 
 
 def test_a_process_that_is_killed_and_starts_empty_or_ends_by_sigterm_harms_nobody_else() -> None:
@@ -53,7 +53,7 @@
         Story("ended", seed=8, keyed=0.0, faults=[Fault(1.0, "term", 0.5, [0])], **SMALL)]
     for verdict in rehearsed(*stories):
         assert verdict.broken == [], verdict.last
-        assert verdict.served_after > 0.7
+        assert verdict.served_after > 0.75 and verdict.plain_after > 0.9
 
 
 def test_no_key_runs_twice_whatever_befalls_the_processes_and_links() -> None:
@@ -91,7 +91,7 @@
     lost, orphans = rehearsed(Story("lost again", seed=23, faults=again, **many),
                               Story("orphans", seed=24, faults=[Fault(2.0, "kill", 0.3)], **long))
     assert lost.broken == [], lost.last
-    assert lost.served_after > 0.7 and lost.counters["phase_normal"] >= 3
+    assert lost.served_after > 0.75 and lost.plain_after > 0.9 and lost.counters["phase_normal"] >= 3
     assert orphans.broken == [], orphans.last
     assert orphans.counters["orphans_withdrawn"] > 3 and orphans.orphans == 0
 
@@ -131,6 +131,25 @@
     assert "nothing was served" in none.broken and "the fault cut hit nothing" in none.broken
 
 
+def test_a_fault_of_links_lasts_until_it_has_hit_and_the_story_goes_on_for_as_much_longer(tmp_path: Path) -> None:
+    """On a busy machine the processes that should have told each other something were still starting."""
+    story = Story("brief", seed=17, processes=2, boxes=1, rate=30.0, seconds=1.0, keyed=0.0,
+                  faults=[Fault(0.2, "cut", 0.0, [0, 1])])
+    play = Play(story, tmp_path)
+    verdict = asyncio.run(play.run())
+    assert verdict.broken == [] and verdict.faults["cut"] >= 1
+    assert play.late() > 0.0 and max(t.at for t in play.clients.tries) > play.began + 0.2 + 0.8 * play.late()
+
+
+def test_a_job_counts_once_however_often_its_client_came_and_where_it_was_first_asked() -> None:
+    tries = [Asked("k", "publish", 0, 1.0, 2.0, "missing"), Asked("k", "publish", 1, 2.3, 2.5, "200"),
+             Asked("m", "publish", 0, 2.0, 2.1, "503"), Asked("m", "publish", 1, 2.4, 2.5, "503"),
+             Asked("", "render", 0, 2.0, 2.2, "200"), Asked("", "render", 0, 2.1, 2.2, "502")]
+    assert served(tries, 0.0, 1.5) == 1.0  # though its own try of that time was lost
+    assert served(tries, 2.0, 3.0) == pytest.approx(1 / 3)  # and that of the first job is not of this span
+    assert served(tries, 5.0, 6.0) == 0.0
+
+
 def test_a_story_is_data_and_a_faulty_one_is_named_by_its_key(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
     file = tmp_path / "story.toml"
     for text, named in (('name = "x"\nsecond = 3.0', "second"), ('name = "x"\nprocesses = 900', "processes"),
