--- a/beaconhinge/books/record.py
+++ b/beaconhinge/books/record.py
@@ -103,7 +103,7 @@
     dispatcher.mean_work, dispatcher.pace = record.mean_work, record.pace
     dispatcher.job_time = record.job_time
     # Its reports carry on the smoothed figures instead of starting them anew.
-    dispatcher.started = now - fleet.MEMORY * dispatcher.report_after
+    dispatcher.smoothed_from = now - fleet.MEMORY * dispatcher.report_after
     dispatcher.rate = record.rate * (1 + decide.STEP) ** (age / decide.CONTROL_AFTER)
     for peer in record.peers:
         kept = fleet.Peer(peer.incarnation, peer.sequence, now - peer.silent - age, peer.known, peer.span)
--- a/beaconhinge/net/frontend.py
+++ b/beaconhinge/net/frontend.py
@@ -14,6 +14,7 @@
 from ospreyroute import api
 
 from ..config import Config
+from ..hints import Hints
 from ..request import FAILED, GONE, REFUSED, Answer, Job, Request, Requests
 from ..stats import Stats
 from ..wheel import Wheel
@@ -77,6 +78,7 @@
         self.unheard: dict[_Peer, None] = {}  # those that have sent no whole message, in the order they came
         self.leaving: set[_Peer] = set()  # those seen off, until they close as well
         self.classes = {name: i for i, name in enumerate(config.class_names)}
+        self.hints = Hints()
         self.tenants = {name: i for i, name in enumerate(config.tenant_names)}
         self._listener: socket.socket | None = None
         self._accepting: asyncio.Task[None] | None = None
@@ -299,9 +301,23 @@
         extras = _extras(headers.get("x-attrs", ""))
         now = self.wheel.now()
         remaining = min(int(wait) / 1000, self.answer_by - now)
+        work = self._work(cls, headers.get("x-cost", ""), int(wait) / 1000)
         return Job(name, cls, tenant, remaining, now, message.target, message.body, key,
                    headers.get("x-route-key", ""), extras.get("slots", 1.0), extras.get("memory", 0.0),
-                   headers.get("x-retried") == "1")
+                   headers.get("x-retried") == "1", work)
+
+    def _work(self, cls: int, cost: str, waits: float) -> float:
+        """Seconds that the job may take by its client's guess. A bad guess costs no job: it is counted."""
+        told = 0.0
+        if cost.isascii() and len(cost) <= 32 and cost.replace(".", "", 1).isdigit():
+            told = float(cost) / 1e6
+        elif cost:
+            self.stats.complain("hint_unread", cost=cost)
+        bounded = self.hints.bounded
+        work = self.hints.fit(cls, told, waits)
+        if self.hints.bounded > bounded:
+            self.stats.count("hints_bounded")
+        return work
 
     # ---- the end -------------------------------------------------------------------------------------------
 
--- a/beaconhinge/request.py
+++ b/beaconhinge/request.py
@@ -35,6 +35,7 @@
     slots: float = 1.0
     memory: float = 0.0
     repeat: bool = False
+    work: float = 0.0  # seconds of a standard core that it may take; 0: not known
 
     @property
     def deadline(self) -> float:
@@ -242,8 +243,8 @@
                 self._finish(Answer(api.SERVED, known.result))
                 return
             core.feed(api.Job(self.number, job.cls, job.tenant, left, job.route_key,
-                              slots=job.slots, memory=job.memory, flags=api.REPEAT if job.repeat else 0,
-                              doubted=known.doubted))
+                              size_hint=job.work, slots=job.slots, memory=job.memory,
+                              flags=api.REPEAT if job.repeat else 0, doubted=known.doubted))
             if self.watcher is not None:
                 self._steps.put_nowait(Admitted())
             # The last steps count as well: each send is due its outcome, and the module each outcome.
--- a/beaconhinge/standin/rig/play.py
+++ b/beaconhinge/standin/rig/play.py
@@ -181,7 +181,8 @@
         play = {"stop": self._stop, "kill": self._restart, "term": self._restart, "cut": self._drop,
                 "lossy": self._drop, "discovery": self._no_discovery, "mute": self._mute,
                 "drain": self._drain}[fault.what]
-        self.hits[fault.what] += await play(fault, who)
+        hit = await play(fault, who)  # first: another of its kind may have been counted meanwhile
+        self.hits[fault.what] += hit
         self._late = self.late()
         self._lasting.remove(fault)
         self._say(f"{fault.what} {','.join(map(str, who))} is over")
--- a/ospreyroute/decide.py
+++ b/ospreyroute/decide.py
@@ -168,7 +168,7 @@
         self.rate = INF  # work a second that the fleet admits
         self.sends = self.fulls = self.asking = 0  # asking: workers whose word on their load is awaited
         self.send_rate = 0.0  # of all, a second
-        self.started = self.controlled = self.reported = self.refilled = 0.0
+        self.started = self.smoothed_from = self.controlled = self.reported = self.refilled = 0.0
         self.ask_at, self.ask_within = INF, ASK_SPREAD * settings.group_size
 
     def handle(self, now: float, event: api.Event) -> list[api.Action]:
@@ -191,7 +191,7 @@
     # ---- membership ---------------------------------------------------------------------------------------
 
     def on_start(self, _event: api.Start) -> None:
-        self.started = self.controlled = self.reported = self.refilled = self.now
+        self.started = self.smoothed_from = self.controlled = self.reported = self.refilled = self.now
         self.fleet.start(self.now)
         self.actions.append(api.SetTimer(TICK, self.tick))
         self.actions.append(api.SetTimer(REPORT, REPORT_AFTER * self.random.random()))
@@ -378,7 +378,7 @@
 
     def fold(self, span: float) -> None:
         self.reported = self.now
-        memory = min(MEMORY * self.report_after, self.now - span - self.started)
+        memory = min(MEMORY * self.report_after, self.now - span - self.smoothed_from)
         for bucket in self.buckets.values():
             bucket.demand = smooth(bucket.demand, bucket.allowed + bucket.denied, span, memory)
             bucket.admitted = smooth(bucket.admitted, bucket.allowed, span, memory)
@@ -558,7 +558,7 @@
             worker.sent.popleft()
         slots = min(self.limit(worker), self.limits.get(worker.kind, LIMIT))
         budget = COLD_MARGIN * told.fall_multiple * ramp * slots * told.tip_after
-        # Where an Nth is less than a job few own it, by a rank that each works out; how many, all see alike.
+        # Where an Nth is less than a job few own it, by a rank; in powers of two most see as many.
         size, parts = told.group_size, max(1, int(budget / (2 * self.mean_work * (self.pace or 1.0))))
         owners = min(size, 1 << parts.bit_length() - 1)
         rank = (told.own_number - peerwire.mix(worker.id ^ int(worker.started_at))) % size
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -361,6 +361,51 @@
     play(story, spoilt)
 
 
+@pytest.mark.parametrize("first", ["the result", "the withdrawal"])
+@pytest.mark.parametrize("told", [{"state": "done", "result": "late"}, {"state": "returned"}, {"state": "lost"}])
+def test_a_withdrawal_that_crosses_the_workers_word_ends_the_attempt_once(
+    monkeypatch: pytest.MonkeyPatch, first: str, told: dict[str, str]
+) -> None:
+    """Both are under way at once; the second comes to an attempt that has ended, and each is answered."""
+    gate = asyncio.Event()
+
+    async def worker(message: Seen) -> bytes | None:
+        if message.start.startswith("DELETE"):
+            await gate.wait()
+            return reply(404)
+        return reply(202)
+
+    module = scripted(monkeypatch, api.Send(1, FIRST), ClientGone=[api.Cancel(1, 0)])
+
+    async def story(scene: Stage) -> None:
+        sock = client(scene)
+        sock.sendall(job())
+        seen = scene.workers[0].seen
+        assert (await seen.get()).start.startswith("POST")
+        await scene.news(state="started")
+        await event(module, api.Notice)
+        if first == "the result":
+            assert (await scene.news(**told)).status == 204
+            sock.close()
+        else:
+            sock.close()
+            assert (await seen.get()).start == "DELETE /jobs/r1 HTTP/1.1"
+            assert (await scene.news(**told)).status == 204
+            gate.set()
+        outcome = await event(module, api.Outcome)
+        given = {"done": api.SERVED, "returned": api.FULL, "lost": api.RESET}[told["state"]]
+        assert outcome.outcome == (given if first == "the result" else api.CANCELLED)
+        module.on[api.Job] = [api.Send(2, FIRST)]  # the next job of that name has nothing of the first
+        again = asyncio.create_task(scene.post())
+        assert (await seen.get()).start.startswith("POST")
+        await scene.news(state="done", result="new")
+        assert (await again).body == b"new"
+        left = [module.events.get_nowait() for _ in range(module.events.qsize())]
+        assert [e.request for e in left if isinstance(e, api.Outcome)] == [2]
+
+    play(story, worker)
+
+
 def test_a_reset_long_after_the_202_costs_the_job_nothing() -> None:
     async def story(scene: Stage) -> None:
         asked = asyncio.create_task(scene.post())
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -7,6 +7,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from beaconhinge.books import record
 from ospreyroute import api, decide, peerwire
 from ospreyroute.decide import Dispatcher, max_min
 from ospreyroute.fleet import smooth
@@ -277,9 +278,15 @@
     assert sum(bool(sends(dispatcher.handle(102.0, job(n, size_hint=0.4)))) for n in range(1, 20)) == 5
 
 
-def test_what_an_earlier_life_may_have_sent_to_a_cold_worker_counts_until_its_time_is_over() -> None:
-    """A process that was killed and came back in time had its budget anew."""
+@pytest.mark.parametrize("books", [False, True])
+def test_what_an_earlier_life_may_have_sent_to_a_cold_worker_counts_until_its_time_is_over(books: bool) -> None:
+    """A process that was killed and came back in time had its budget anew; with books, which say nothing of that,
+    also after this was mended: they moved the start back by which it is known.
+    """
     dispatcher = started(count=0)  # at 100.0; the budget is over 1 s
+    if books:
+        record.restore(dispatcher, record.take(dispatcher, 100.0), 100.0, 0.0)
+        dispatcher.quota = [99.0] * len(dispatcher.quota)
     for now, started_at, expected in ((100.9, 99.0, False), (100.95, 100.5, True), (101.1, 99.0, True)):
         dispatcher.handle(now, api.Membership(api.SNAPSHOT, 2, members(1, started_at=started_at)))
         dispatcher.workers[100].started_at = started_at
