A process that ends takes its own shorter time no longer for a client's repeat

Ruled out: limits, quotas and buckets (rate inf, nothing held), the list (9 workers).

Change: api.Job.patience, the time its client gives, beside remaining; first tries are dated by it. What would outlast the process by its expected time is refused at once, while another dispatcher may have it.

Tests: two of the module, and the story of a lone dispatcher after SIGTERM with a job before it: it fails without the change.

--- a/beaconhinge/net/frontend.py
+++ b/beaconhinge/net/frontend.py
@@ -299,12 +299,12 @@
         if self.config.keyed(cls) and not key:
             raise BadMessage(400, "Idempotency-Key is missing, which jobs of this class carry")
         extras = _extras(headers.get("x-attrs", ""))
-        now = self.wheel.now()
-        remaining = min(int(wait) / 1000, self.answer_by - now)
-        work = self._work(cls, headers.get("x-cost", ""), int(wait) / 1000)
+        now, patience = self.wheel.now(), int(wait) / 1000
+        remaining = min(patience, self.answer_by - now)
+        work = self._work(cls, headers.get("x-cost", ""), patience)
         return Job(name, cls, tenant, remaining, now, message.target, message.body, key,
                    headers.get("x-route-key", ""), extras.get("slots", 1.0), extras.get("memory", 0.0),
-                   headers.get("x-retried") == "1", work)
+                   headers.get("x-retried") == "1", work, patience)
 
     def _work(self, cls: int, cost: str, waits: float) -> float:
         """Seconds that the job may take by its client's guess. A bad guess costs no job: it is counted."""
--- a/beaconhinge/request.py
+++ b/beaconhinge/request.py
@@ -26,7 +26,7 @@
     id: str
     cls: int
     tenant: int
-    remaining: float  # seconds from `taken_at`, the arrival of its last byte, that the client will wait
+    remaining: float  # seconds from `taken_at`, the arrival of its last byte, until it must have its answer
     taken_at: float
     target: bytes  # path and query, passed on unchanged
     body: bytes
@@ -36,6 +36,7 @@
     memory: float = 0.0
     repeat: bool = False
     work: float = 0.0  # seconds of a standard core that it may take; 0: not known
+    patience: float = 0.0  # seconds from `taken_at` that its client waits; 0: `remaining`, and no more
 
     @property
     def deadline(self) -> float:
@@ -234,17 +235,19 @@
         core.requests[self.number] = self._steps.put_nowait
         late = job.remaining + self.all.settings.grace_to_answer / 2
         backstop = self.all.wheel.after(late, lambda: self._steps.put_nowait(Overdue()))
-        known, left = Known(), job.remaining
+        known, spent = Known(), 0.0
         try:
             if self.all.before is not None or self.all.keys is not None and job.dedup_key:
                 known = await self._known()
-                left = max(job.deadline - self.all.wheel.now(), 0.0)  # that took time
+                spent = self.all.wheel.now() - job.taken_at  # that took time
             if known.result is not None:
                 self._finish(Answer(api.SERVED, known.result))
                 return
+            left, patience = (max(span - spent, 0.0) for span in (job.remaining, job.patience))
             core.feed(api.Job(self.number, job.cls, job.tenant, left, job.route_key,
                               size_hint=job.work, slots=job.slots, memory=job.memory,
-                              flags=api.REPEAT if job.repeat else 0, doubted=known.doubted))
+                              flags=api.REPEAT if job.repeat else 0, doubted=known.doubted,
+                              patience=patience))
             if self.watcher is not None:
                 self._steps.put_nowait(Admitted())
             # The last steps count as well: each send is due its outcome, and the module each outcome.
--- a/ospreyroute/api.py
+++ b/ospreyroute/api.py
@@ -278,6 +278,7 @@
     memory: float = 0.0
     flags: int = 0
     doubted: bool = False  # it may have run elsewhere, and nobody knows where
+    patience: float = 0.0  # seconds that its client waits, maybe more than `remaining`; 0: no more
 
 
 @dataclass(slots=True)
--- a/ospreyroute/decide.py
+++ b/ospreyroute/decide.py
@@ -272,23 +272,23 @@
         run = job.size_hint or SHORT * self.pace
         expected = job.size_hint * self.pace or run
         # The aim counts from the client's first try. A later one is marked or, where clients do not mark
-        # theirs, shows by the less time it has left; marked ones guard against clients that just wait less.
-        longest = self.longest[job.cls] = max(self.longest[job.cls], job.remaining)
+        # theirs, shows by the less time it came with; marked ones guard against clients that just wait less.
+        longest = self.longest[job.cls] = max(self.longest[job.cls], given := job.patience or job.remaining)
         repeat = bool(job.flags & api.REPEAT) or not self.settings.marks_retry
-        first_try = self.now - (longest - job.remaining if repeat else 0.0)
+        first_try = self.now - (longest - given if repeat else 0.0)
         due = first_try + cls.aim + cls.stretch * run
         request = self.requests[job.request] = _Request(
             job.request, cls, max(job.slots, 1.0), work, self.now, self.now + job.remaining, due, expected,
             start_by=max(first_try + cls.aim / 2, due - expected))
-        if job.doubted or self.now > (request.start_by if cls.late_worth == 0 else self.give_up_at(request)):
-            self.refuse(request)  # a client's repeat: a second run, worthless by now, or without time to run
+        hopeless = self.now > (request.start_by if cls.late_worth == 0 else self.give_up_at(request))
+        if job.doubted or hopeless or job.remaining < min(given, expected):
+            self.refuse(request)  # a client's repeat: a second run, or worthless by now; or we end before it
             return
         tenant = job.tenant if 0 <= job.tenant < len(self.quota) else 0
         if self.settings.tenants[tenant].quota_rps > 0:
             request.over = self.quota[tenant] < 1.0
             self.quota[tenant] -= not request.over
-        key = (tenant, job.cls)
-        if (bucket := self.buckets.get(key)) is None:
+        if (bucket := self.buckets.get(key := (tenant, job.cls))) is None:
             bucket = self.buckets[key] = _Bucket()
             if self.settings.peers and (not self.many or self.now - self.reported >= self.report_after):
                 self.report()
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -604,3 +604,27 @@
             taken.append(again[0].worker)
         assert (len(taken) > len(set(taken))) is twice
         assert len(set(taken)) == 2
+
+
+# ---- less time here than the client gives
+
+
+@pytest.mark.parametrize("marks", ["true", "false"])
+@pytest.mark.parametrize("flags", [0, api.REPEAT])
+def test_a_process_that_ends_does_not_take_its_own_end_for_a_clients_long_wait(marks: str, flags: int) -> None:
+    """The less time that a job had there was read as time gone since its client's first try: all were refused."""
+    dispatcher = started(clients__marksRetry=marks)
+    assert sends(dispatcher.handle(100.0, job(1, 2, remaining=4.0, size_hint=0.5)))
+    taken = job(2, 2, remaining=1.5, size_hint=0.5, patience=4.0, flags=flags)
+    assert sends(dispatcher.handle(100.1, taken))
+    late = job(3, 2, remaining=1.5, size_hint=0.5, flags=api.REPEAT)  # 2.5 s are gone for its client too
+    assert finals(dispatcher.handle(100.2, late)) == [api.Refuse]
+
+
+def test_a_process_that_ends_refuses_at_once_what_would_outlast_it_and_only_then() -> None:
+    """Taken, it would be lost with the process, and may have run: another dispatcher can still have it."""
+    dispatcher = started(clients__marksRetry="true")
+    dispatcher.pace = 1.0
+    assert finals(dispatcher.handle(100.0, job(1, remaining=1.0, size_hint=2.0, patience=4.0))) == [api.Refuse]
+    assert sends(dispatcher.handle(100.0, job(2, remaining=1.0, size_hint=0.5, patience=4.0)))
+    assert sends(dispatcher.handle(100.0, job(3, remaining=1.0, size_hint=2.0)))  # its client's own choice
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -240,13 +240,20 @@
     play(story, accept)
 
 
+@pytest.mark.parametrize("before", [False, True])
 def test_after_sigterm_clients_are_served_while_no_other_dispatcher_is_heard(
-    monkeypatch: pytest.MonkeyPatch
+    monkeypatch: pytest.MonkeyPatch, before: bool
 ) -> None:
+    """Once a job had come with all its time, the less of a process that ends was taken for a repeat, and refused."""
     monkeypatch.setattr("beaconhinge.net.frontend.LONGEST", 1.5)
 
     async def story(scene: Stage) -> None:
         (reader, writer), (slow_reader, slow_writer) = await scene.open(), await scene.open()
+        if before:
+            writer.write(job(X_Request_ID="r0"))
+            await scene.workers[0].seen.get()
+            await scene.news(id="r0", state="done", result="r0")
+            assert (await read_message(reader)).body == b"r0"
         await scene.stop(alone=True)
         await asyncio.sleep(0.7)  # with others about it would have parted with both
         for name in ("r1", "r2"):
