--- a/beaconhinge/hints.py
+++ b/beaconhinge/hints.py
@@ -27,13 +27,14 @@
         self._classes: dict[int, _Class] = {}
 
     def fit(self, cls: int, told: float, remaining: float) -> float:
-        """Work in seconds of a standard core for a job whose client said `told` (0: nothing) and waits
-        `remaining` seconds. 0 where hints are not in use.
+        """Work in seconds of a standard core for a job whose client said `told` seconds (0: nothing) and
+        waits `remaining` seconds. 0 where hints are not in use.
         """
         self._seen += 1
         self._share += max(LEARN, 1 / self._seen) * ((told > 0) - self._share)
         self.used = self._share >= (UNUSED if self.used else USED)
-        known = self._classes.setdefault(cls, _Class())
+        if (known := self._classes.get(cls)) is None:
+            known = self._classes[cls] = _Class()
         if told > 0:
             work = known.bound(told, remaining)
             self.bounded += work != told
