--- a/ospreyroute/decide.py
+++ b/ospreyroute/decide.py
@@ -105,7 +105,7 @@
     cls: api.RequestClass
     slots: float
     work: float  # hinted work, 1 without a hint
-    arrived: float
+    asked: float  # when its client first did, as far as can be told
     deadline: float
     due: float  # until then an answer has full worth
     expected: float  # time on a mean worker
@@ -278,7 +278,7 @@
         first_try = self.now - (longest - given if repeat else 0.0)
         due = first_try + cls.aim + cls.stretch * run
         request = self.requests[job.request] = _Request(
-            job.request, cls, max(job.slots, 1.0), work, self.now, self.now + job.remaining, due, expected,
+            job.request, cls, max(job.slots, 1.0), work, first_try, self.now + job.remaining, due, expected,
             start_by=max(first_try + cls.aim / 2, due - expected))
         hopeless = self.now > (request.start_by if cls.late_worth == 0 else self.give_up_at(request))
         if job.doubted or hopeless or job.remaining < min(given, expected):
@@ -532,7 +532,7 @@
         out = self.out(worker)
         room = self.limit(worker) - out + 0.5
         room -= RESERVE * (1 - self.settings.over_share_worth) if request.over else 0.0
-        waited = self.now - request.arrived > 0.3 * (request.start_by - request.arrived)
+        waited = self.now - request.asked > 0.3 * (request.start_by - request.asked)
         if room >= request.slots or out < 1 and room > 0 or request.slots > 1 and waited and room >= 1:
             return room
         return 0.0
@@ -576,8 +576,8 @@
         cls, first = request.cls, request.ran
         if first is None or cls.semantics == api.RETRYABLE:
             return True
-        written = self.now + self.settings.connect_timeout  # at the latest: when its connection is up
-        if cls.semantics == api.FRAGILE or written >= first.sent_at + cls.dedup_window:
+        written = self.now + self.settings.connect_timeout  # at the latest; another may have sent before us
+        if cls.semantics == api.FRAGILE or written >= request.asked + cls.dedup_window:
             return False
         cell, zone = worker.cell == first.worker.cell, worker.zone == first.worker.zone
         return {"cell": cell, "all": True}.get(cls.dedup_group, zone)
@@ -793,7 +793,7 @@
         if attempt.rate >= SLOW * attempt.full_rate * self.fleet_speed:
             return False
         whole = 1 / attempt.full_rate
-        due = request.arrived + request.cls.aim + request.cls.stretch * whole
+        due = request.asked + request.cls.aim + request.cls.stretch * whole
         left = (1 - attempt.share) / max(attempt.rate, 1e-6)
         return self.now + whole / self.fleet_speed < due < self.now + left
 
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -587,6 +587,27 @@
     assert [repeated(at) for at in (100.5, 101.7, 101.8, 102.0)] == [True, True, False, False]
 
 
+@pytest.mark.parametrize(("remaining", "flags", "marks", "expected"), [
+    (3.0, 0, "true", [True, True, False]), (3.0, api.REPEAT, "true", [True, False, False]),
+    (3.0, 0, "false", [True, False, False]), (4.0, 0, "false", [True, True, False])])
+def test_the_window_counts_from_the_clients_first_try_which_another_dispatcher_may_have_sent(
+    remaining: float, flags: int, marks: str, expected: list[bool]
+) -> None:
+    """It was counted from this one's own first send, when the rack's may have been over."""
+    def repeated(at: float) -> bool:
+        dispatcher = started(count=3, requestClasses__1__aim="3", clients__marksRetry=marks,
+                             policyLimits__connectTimeout="0.25")
+        dispatcher.limits[0] = 20.0
+        dispatcher.longest[1] = 4.0  # so that 3 s left tell of a first try a second ago
+        [first] = [send for n in range(1, 9) for send in sends(dispatcher.handle(100.0, job(n, 1, remaining=remaining, flags=flags)))
+                   if send.worker == 100][:1]
+        again = sends(dispatcher.handle(at, outcome(first.request, 100, api.RESET)))
+        return [send.worker for send in again if send.request == first.request] == [102]
+
+    # The window is 2 s from the first try, which is this one's own or a second before it.
+    assert [repeated(at) for at in (100.5, 101.2, 101.8)] == expected
+
+
 def test_an_unsafe_job_goes_to_no_worker_twice() -> None:
     """Handed back, refused elsewhere, and at the first again: the word on the first try, which is said up to ten
     times, ended the second there, and the job went on to a third worker while it ran.
