--- a/tests/test_other_deployments.py
+++ b/tests/test_other_deployments.py
@@ -17,6 +17,13 @@
 SLOTS = 4  # of a worker
 
 
+def weighed(weights: list[float]) -> list[api.Member]:
+    listed = members(WORKERS)
+    for member, weight in zip(listed, weights, strict=True):
+        member.weight = weight
+    return listed
+
+
 class Play:
     """One dispatcher and workers that take a second for a job, but for one that takes jobs and answers none.
 
@@ -36,10 +43,7 @@
         self._order = count()
         self._due: list[tuple[float, int, api.Event]] = []
         self._feed(100.0, api.Start())
-        listed = members(WORKERS)
-        for member, weight in zip(listed, weights, strict=True):
-            member.weight = weight
-        self._feed(100.0, api.Membership(api.REMEMBERED, 1, listed))
+        self._feed(100.0, api.Membership(api.REMEMBERED, 1, weighed(weights)))
 
     def jobs(self, rate: float, seconds: float) -> None:
         for number in range(int(rate * seconds)):
@@ -49,10 +53,7 @@
             self._feed(now, event)
 
     def list_again(self, at: float, weights: list[float]) -> None:
-        listed = members(WORKERS)
-        for member, weight in zip(listed, weights, strict=True):
-            member.weight = weight
-        self._later(at, api.Membership(api.CHANGES, int(at), listed))
+        self._later(at, api.Membership(api.CHANGES, int(at), weighed(weights)))
 
     def _later(self, at: float, event: api.Event) -> None:
         heapq.heappush(self._due, (at, next(self._order), event))
