--- a/beaconhinge/membership/discovery_watch.py
+++ b/beaconhinge/membership/discovery_watch.py
@@ -10,7 +10,8 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, replace
+import enum
+from dataclasses import dataclass
 
 from ..policy.interface import UpdateKind
 from .inventory import WorkerList
@@ -85,6 +86,15 @@
     body_timeout_s: float = BODY_TIMEOUT_S
 
 
+class PassedOver(enum.Enum):
+    """Why an answer, or the version that it numbers, is not taken. The values stand in log lines."""
+
+    OLDER = "older"  # than the applied list
+    EARLY = "early"  # a watch's answer without a change before its wait was over
+    CHANGES_FOR_SNAPSHOT = "changes_for_snapshot"
+    CONTENT_MISSING = "content_missing"  # of the version, or it could not all be parsed
+
+
 @dataclass(frozen=True, slots=True)
 class WatchDecision:
     """What follows from an answer.
@@ -95,6 +105,7 @@
         pause_s: The time to the next call.
         contradicts_earlier: Whether the same version, read a second time, has other content.
         proves_current: Whether the applied list is current, as far as the answer shows.
+        passed_over: Why the answer, or its version, is not taken; None if it is.
     """
 
     update_kind: UpdateKind | None
@@ -102,10 +113,12 @@
     pause_s: float = CALL_SPACING_S
     contradicts_earlier: bool = False
     proves_current: bool = True
+    passed_over: PassedOver | None = None
 
 
-# The answer does not belong to the last call: the connection is not used again.
-UNRELATED_ANSWER = WatchDecision(None, keep_connection=False, proves_current=False)
+def _unrelated_answer(why: PassedOver, pause_s: float = CALL_SPACING_S) -> WatchDecision:
+    """The answer does not belong to the last call: the connection is not used again."""
+    return WatchDecision(None, keep_connection=False, pause_s=pause_s, proves_current=False, passed_over=why)
 
 
 class DiscoveryWatch:
@@ -238,11 +251,12 @@
             # Either an answer to an earlier call, or discovery has begun anew: only the snapshot, twice on
             # new connections, can tell.
             self._older_version_seen = self._snapshot_needed = True
-            return UNRELATED_ANSWER
+            return _unrelated_answer(PassedOver.OLDER)
         if self._last_call.index is None and not worker_list.is_snapshot:
             return self._handle_changes_for_snapshot(now)
         if self._is_early(worker_list, elapsed_s):
-            return UNRELATED_ANSWER  # the answer to the last call is still to come on that connection
+            # The answer to the last call is still to come on that connection.
+            return _unrelated_answer(PassedOver.EARLY)
         snapshot_requested = self._snapshot_needed
         self._snapshot_needed = self._older_version_seen = False
         self._wrong_answer_pause_s = 0.0
@@ -283,10 +297,10 @@
         """
         if self._confirming and not self.pushed:
             self.verification.handle_overload(now)
-            return UNRELATED_ANSWER
+            return _unrelated_answer(PassedOver.CHANGES_FOR_SNAPSHOT)
         doubled_s = min(2 * self._wrong_answer_pause_s, self._backoff_max_s)
         self._wrong_answer_pause_s = doubled_s if self._wrong_answer_pause_s else 2 * CALL_SPACING_S
-        return replace(UNRELATED_ANSWER, pause_s=self._wrong_answer_pause_s)
+        return _unrelated_answer(PassedOver.CHANGES_FOR_SNAPSHOT, self._wrong_answer_pause_s)
 
     def _handle_missing_content(self, worker_list: WorkerList, now: float) -> WatchDecision:
         """What could be parsed of the changes is applied; the version's number is not taken."""
@@ -294,7 +308,13 @@
         self.verification.handle_doubt(now)
         self._snapshot_needed, self._watching = True, False
         pause_s = max(CALL_SPACING_S, self.verification.bounded_seconds_until_read(now))
-        return WatchDecision(kind, keep_connection=True, pause_s=pause_s, proves_current=False)
+        return WatchDecision(
+            kind,
+            keep_connection=True,
+            pause_s=pause_s,
+            proves_current=False,
+            passed_over=PassedOver.CONTENT_MISSING,
+        )
 
     def _take(
         self,
--- a/beaconhinge/net/attempts.py
+++ b/beaconhinge/net/attempts.py
@@ -163,6 +163,13 @@
         }
         if job.idempotency_key:
             headers["Idempotency-Key"] = job.idempotency_key
+        self.metrics.trace(
+            "attempts",
+            "attempt_sent",
+            request=job.id,
+            worker=sent.host.id,
+            list_version=self.pool.list_version,
+        )
         self.policy_runner.monitor.attempt_started(job.id, sent.host.id, self.timers.now(), left_ms)
         return http1.request("POST", job.target, headers, sent.body)
 
--- a/beaconhinge/net/discovery.py
+++ b/beaconhinge/net/discovery.py
@@ -89,11 +89,12 @@
         self._applier = ListApplier(policy_runner, workers, timers, metrics, wall_clock)
         self._bootstrap_list = config.bootstrap_list or WorkerList()
         self._poll_task: asyncio.Task[None] | None = None
+        self._connection = DiscoveryConnection(timers, metrics)
         self._call_ended = asyncio.Event()  # a call has been answered, or has failed
         self._log = ListLog(metrics)
         policy_runner.action_handlers[interface.SubscribeMembership] = self._subscribe
         policy_runner.action_handlers[interface.FetchMembership] = lambda _action: self._restart_polling(
-            snapshot=True
+            "snapshot_wanted", snapshot=True
         )
         policy_runner.on_event_failed = self._handle_event_failure
         workers.list_usable = lambda: self.list_usable
@@ -118,7 +119,8 @@
         """
         self._apply(UpdateKind.BOOTSTRAP, self._bootstrap_list)
         spread_s = min(START_SPREAD_PER_DISPATCHER_S * self.config.settings.group_size, START_SPREAD_MAX_S)
-        self._restart_polling(pause_s=0.0 if self.watch.pushed else spread_s * self._random.random())
+        pause_s = 0.0 if self.watch.pushed else spread_s * self._random.random()
+        self._restart_polling("start", pause_s=pause_s)
 
     def take_over_list(self, worker_list: WorkerList, same_discovery: bool) -> None:
         """Take the list of the process that this one replaces as the bootstrap list.
@@ -145,12 +147,12 @@
         self.address = address
         pause_s = self.watch.switch_discovery(self.timers.now(), self._random.random())
         if self._poll_task is not None:  # the policy would ask again only when the old watch had failed
-            self._restart_polling(pause_s=pause_s)
+            self._restart_polling("other_discovery", pause_s=pause_s)
 
     async def refresh(self) -> None:
         """Fetch what has changed at once; returns when that has been applied, or has failed."""
         self._call_ended.clear()
-        self._restart_polling()
+        self._restart_polling("refresh")
         await self._call_ended.wait()
 
     def _check(self) -> None:
@@ -162,25 +164,30 @@
         """Call discovery at once, whatever call is out: what was announced meanwhile is not known."""
         self.metrics.count("lists_refreshed_after_stall")
         if self._poll_task is not None:
-            self._restart_polling()
+            self._restart_polling("process_paused")
 
     def _subscribe(self, action: interface.SubscribeMembership) -> None:
         if self._poll_task is not None and not action.enabled:
-            self._poll_task.cancel()
-            self._poll_task = None
+            self._stop_polling("unsubscribed")
         elif action.enabled and (self._poll_task is None or self._poll_task.done()):
-            self._restart_polling()
+            self._restart_polling("subscribed")
 
-    def _restart_polling(self, snapshot: bool = False, pause_s: float = 0.0) -> None:
-        """Call now, and continue from there. One call at a time: no answer overtakes another."""
+    def _stop_polling(self, why: str) -> None:
+        """Cancel the call that is out, if there is one."""
         if self._poll_task is not None:
+            self._log.report_cancelled_call(why, self.version, self._connection.progress)
             self._poll_task.cancel()
+            self._poll_task = None
+
+    def _restart_polling(self, why: str, snapshot: bool = False, pause_s: float = 0.0) -> None:
+        """Call now, and continue from there. One call at a time: no answer overtakes another."""
+        self._stop_polling(why)
         self.watch.resync(snapshot)
-        self._poll_task = self.metrics.spawn(self._poll(pause_s), "watch")
+        self._connection = DiscoveryConnection(self.timers, self.metrics)
+        self._poll_task = self.metrics.spawn(self._poll(self._connection, pause_s), "watch")
 
-    async def _poll(self, pause_s: float) -> None:
+    async def _poll(self, connection: DiscoveryConnection, pause_s: float) -> None:
         """One call after the other: first for what was missed, which is answered at once, then watches."""
-        connection = DiscoveryConnection(self.timers, self.metrics)
         try:
             while True:
                 await asyncio.sleep(pause_s)
@@ -230,7 +237,14 @@
         self._log.report_decision(call, worker_list, decision, previous_version, self.version)
         if decision.update_kind:
             if changes_workers or worker_list.version != previous_version:
-                self._log.report_change(call, worker_list, decision.update_kind, previous_version, elapsed_s)
+                self._log.report_change(
+                    call,
+                    worker_list,
+                    decision.update_kind,
+                    previous_version,
+                    elapsed_s,
+                    connection.progress,
+                )
             self.policy_runner.monitor.list_received(answer.content, now)
             self._apply(decision.update_kind, worker_list)
         else:
@@ -244,15 +258,13 @@
         refused = isinstance(error, (ConnectionRefusedError, ConnectionResetError, BrokenPipeError, Closed))
         was_watch = call.wait_s > 0
         self.availability.freshness.handle_failure(started_s, self.timers.now(), refused, was_watch)
-        answer_begun = connection.answer_begun
+        answer_begun, progress = connection.answer_begun, connection.progress
         if answer_begun:
             self._salvage(connection.unfinished_body())
         connection.close()
         silent = isinstance(error, TimeoutError) and not answer_begun
-        if silent and was_watch:
-            self.metrics.count_and_log("watch_silent", list_age=self.availability.list_age_s)
-        else:
-            self.metrics.count_and_log("discovery_failed", why=f"{type(error).__name__}: {error}")
+        event = "watch_silent" if silent and was_watch else "discovery_failed"
+        self._log.report_failed_call(event, call, error, progress, self.availability.list_age_s)
         return self.watch.handle_failure(silent, self.timers.now(), self._random.random(), answer_begun)
 
     def _salvage(self, body: bytes) -> None:
--- a/beaconhinge/net/discovery_connection.py
+++ b/beaconhinge/net/discovery_connection.py
@@ -7,6 +7,7 @@
 from ..runtime.metrics import Metrics
 from ..runtime.timer_wheel import TimerWheel
 from . import http1
+from .discovery_answer import AnswerProgress, AnswerRecorder
 from .http1 import BadMessage, Connection, Message
 from .sockets import connect
 
@@ -22,6 +23,12 @@
         self._timers = timers
         self._metrics = metrics
         self._connection: Connection | None = None
+        self._recorder = AnswerRecorder(timers)
+
+    @property
+    def progress(self) -> AnswerProgress:
+        """How far the answer to the latest call has come."""
+        return self._recorder.progress
 
     @property
     def answer_begun(self) -> bool:
@@ -48,6 +55,7 @@
             BadMessage: The answer is not HTTP, is too large, or has another status than 200.
         """
         self._metrics.count("discovery_calls")
+        self._recorder.start_call()
         query = "" if call.index is None else f"?index={call.index}&wait={call.wait_s * 1000:.0f}"
         if self._connection is not None and not self._connection.silent():
             # A second answer to the call before: every later one would be taken for that of another call.
@@ -56,7 +64,9 @@
         async with self._timers.timeout(call.first_byte_timeout_s):
             if self._connection is None:
                 sock = await connect(address)
-                self._connection = Connection(sock, False, lambda: None, MAX_LIST_BYTES)
+                self._connection = Connection(
+                    sock, False, lambda: None, MAX_LIST_BYTES, on_body_part=self._recorder.receive_body
+                )
             connection = self._connection
             await connection.send(
                 http1.request("GET", f"/discovery/hosts{query}".encode(), {"Host": "discovery"})
--- a/beaconhinge/net/http1.py
+++ b/beaconhinge/net/http1.py
@@ -64,7 +64,9 @@
         on_close: Callable[[], None],
         max_body_bytes: int = MAX_BODY_BYTES,
         reserve_bytes: Callable[[int], bool] = lambda _count: True,
+        on_body_part: Callable[[bytes], None] | None = None,
     ) -> None:
+        """`on_body_part` hears of each part of a body in the turn that reads it; it must not raise."""
         self.sock = sock
         self.inbox: deque[Message] = deque()
         self.partial = False
@@ -74,6 +76,7 @@
         self._on_close = on_close
         self._open = True
         self._reserve_bytes = reserve_bytes
+        self._on_body_part = on_body_part
         self._reserved_bytes = 0  # bytes of bodies for which there is room taken
         self._buffer = bytearray(FIRST_READ_BYTES)
         self._view = memoryview(self._buffer)
@@ -125,6 +128,8 @@
             if self._reserve_bytes(len(part)):
                 self._reserved_bytes += len(part)
                 self._chunks.append(part)
+                if self._on_body_part is not None:
+                    self._on_body_part(part)
             else:
                 self._fail(503, "too many bodies in hand: try again later")
 
--- a/beaconhinge/net/list_log.py
+++ b/beaconhinge/net/list_log.py
@@ -9,6 +9,7 @@
 from ..membership.inventory import WorkerEndpoint, WorkerList
 from ..policy.interface import UpdateKind, WorkerState
 from ..runtime.metrics import Metrics
+from .discovery_answer import AnswerProgress
 
 # How many of the lists applied last are named with each traced watch without a change.
 TRACED_LISTS = 8
@@ -41,7 +42,10 @@
         version, kind = worker_list.version, decision.update_kind
         entries, unparsed = len(worker_list.endpoints), len(worker_list.unparsed_ids)
         if not decision.keep_connection:
-            self._metrics.count_and_log("list_unexpected", version=version, known=applied_version)
+            why = decision.passed_over.value if decision.passed_over else "unknown"
+            self._metrics.count_and_log(
+                "list_unexpected", version=version, known=applied_version, why=why, index=call.index
+            )
         if call.wait_s == 0 and kind and version == previous_version:
             self._metrics.count("lists_verified")
         if decision.contradicts_earlier:
@@ -56,6 +60,7 @@
         kind: UpdateKind,
         previous_version: int | None,
         elapsed_s: float,
+        progress: AnswerProgress,
     ) -> None:
         """Log a list that changes the workers or their version, and the call that it answered."""
         self._metrics.log(
@@ -68,8 +73,46 @@
             entries=len(worker_list.endpoints),
             unread=len(worker_list.unparsed_ids),
             after=elapsed_s,
+            first_byte=progress.first_byte_s,
+            received=progress.body_bytes,
         )
 
+    def report_failed_call(
+        self, name: str, call: DiscoveryCall, error: Exception, progress: AnswerProgress, list_age_s: float
+    ) -> None:
+        """Count and log a call that failed, with what had come of its answer.
+
+        Args:
+            name: The event's name: `watch_silent` or `discovery_failed`.
+            call: The call.
+            error: How it failed.
+            progress: How far its answer had come.
+            list_age_s: Seconds since discovery last confirmed the list.
+        """
+        self._metrics.count_and_log(
+            name,
+            why=f"{type(error).__name__}: {error}",
+            index=call.index,
+            wait=call.wait_s,
+            first_byte=progress.first_byte_s,
+            last_byte=progress.last_byte_s,
+            received=progress.body_bytes,
+            list_age=list_age_s,
+        )
+
+    def report_cancelled_call(self, why: str, version: int | None, progress: AnswerProgress) -> None:
+        """Count a call that is given up for another, and log one whose answer had begun."""
+        self._metrics.count("discovery_calls_cancelled")
+        if progress.body_bytes:
+            self._metrics.log(
+                "discovery_call_cancelled",
+                why=why,
+                known=version,
+                first_byte=progress.first_byte_s,
+                last_byte=progress.last_byte_s,
+                received=progress.body_bytes,
+            )
+
     def trace_unchanged(self, worker_list: WorkerList, known: Sequence[WorkerEndpoint]) -> None:
         """Trace an answer that is not applied, with the known workers and the lists applied last."""
         self._metrics.trace(
--- a/beaconhinge/net/worker_pool.py
+++ b/beaconhinge/net/worker_pool.py
@@ -39,6 +39,7 @@
 
     Attributes:
         workers: by number.
+        list_version: of the list that was applied last, whole or in part.
         attempts: sends attempts to them.
         reuse_within: seconds for which an idle connection may be used again.
         elsewhere: hears of call-backs for which no attempt is open here: body, worker's number.
@@ -65,6 +66,7 @@
         self.metrics = metrics
         self.max_reuse_s = self.reuse_within_s = REUSE_PART * config.settings.idle_timeout_s
         self.workers: dict[int, _Worker] = {}
+        self.list_version: int | None = None
         self.on_unmatched_callback: Callable[[bytes, int], None] = lambda _body, _worker: None
         self.on_late_result: Callable[[str, str], None] = lambda _request, _result: None
         self.on_unowned_job: Callable[[str, int], None] = lambda _request, _worker: None
@@ -101,6 +103,7 @@
 
     def apply_list(self, hosts: WorkerList) -> None:
         """Take a list or changes, before the policy knows of it: it never sends to a worker unknown here."""
+        self.list_version = hosts.version
         listed = {host.member.worker for host in hosts.endpoints if host.member.state != WorkerState.GONE}
         for number in [n for n in self.workers if n not in listed] if hosts.is_snapshot else []:
             self._forget(number)
--- a/tests/membership/test_discovery_watch.py
+++ b/tests/membership/test_discovery_watch.py
@@ -10,6 +10,7 @@
     CALL_SPACING_S,
     DiscoveryCall,
     DiscoveryWatch,
+    PassedOver,
     WatchDecision,
 )
 from beaconhinge.membership.inventory import WorkerList, WorkerListParser
@@ -214,7 +215,11 @@
     call = watch.poll()
     decision = watch.take(answer(5), 0.1 * call.wait_s)
     assert decision == type(decision)(
-        None, keep_connection=False, pause_s=CALL_SPACING_S, proves_current=False
+        None,
+        keep_connection=False,
+        pause_s=CALL_SPACING_S,
+        proves_current=False,
+        passed_over=PassedOver.EARLY,
     )
     call = watch.poll()
     assert call.index == 5
