Take leaving workers out of service in the turn in which their entries have been read

Cause: what had arrived of discovery's answer was read when the answer, its call or a time-out was over. Change: PartialListReader (pure) is fed with each piece as it is read, and each entry that takes a worker out counts at once, never its version; a connection that is dropped, for whatever reason, reads first what has arrived; it is read in pauses too; an answer whose JSON is complete is taken though its end does not come within 0.05 s. Reading of broken answers after the fact (parse_partial, salvage) is gone with it.

--- a/beaconhinge/membership/discovery_watch.py
+++ b/beaconhinge/membership/discovery_watch.py
@@ -31,6 +31,8 @@
 
 # How long an answer that has begun may go without a further byte.
 BODY_IDLE_TIMEOUT_S = 1.0
+# How long the end of an answer may be waited for once its list is complete.
+CONTENT_END_TIMEOUT_S = 0.05
 # How long an answer may take from its first byte to its last. Some never end; others are slow and complete,
 # so that the timeout doubles after one that was given up while its bytes still came.
 BODY_TIMEOUT_S = 3.0
--- a/beaconhinge/membership/inventory.py
+++ b/beaconhinge/membership/inventory.py
@@ -3,9 +3,7 @@
 from __future__ import annotations
 
 import hashlib
-import json
-import re
-from collections.abc import Callable, Iterator, Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, field, replace
 from ipaddress import IPv4Address
 from typing import Any
@@ -21,11 +19,6 @@
 # One above the largest TCP port.
 PORT_LIMIT = 65536
 
-# Parts of a list's JSON, for answers that broke off and can't be parsed as a whole.
-VERSION_PATTERN = re.compile(r'"version"\s*:\s*(\d{1,18})\b')
-SERVERS_PATTERN = re.compile(r'"servers"\s*:\s*\[')
-SEPARATOR_PATTERN = re.compile(r"[\s,]*")
-
 
 class WorkerListError(Exception):
     """A list that cannot be parsed at all."""
@@ -117,36 +110,13 @@
             try:
                 worker_list.endpoints.append(self._parse_entry(entry))
             except (AttributeError, KeyError, TypeError, ValueError, OverflowError) as error:
-                worker_id, state = _id_and_state(entry)
+                worker_id, state = id_and_state(entry)
                 worker_list.unparsed_ids.append(worker_id)
                 if worker_id and state is not None:
                     worker_list.unparsed_states[worker_id] = state
                 self._on_malformed_entry(f"{type(error).__name__}: {error}")
         return worker_list
 
-    def parse_partial(self, body: bytes) -> WorkerList | None:
-        """Parse what can be read of an answer that broke off.
-
-        Taking a worker out of service on a part of an answer is safe; putting one into service is not. This
-        relies on the form of discovery's answers, the version before the entries.
-
-        Returns:
-            Changes with only those entries that take a worker out of service, as `unparsed_ids` and
-            `unparsed_states`; None if not even the version can be read, or there are no such entries.
-        """
-        text = body.decode("utf-8", "replace")
-        version = VERSION_PATTERN.search(text)
-        start = SERVERS_PATTERN.search(text)
-        if version is None or start is None or version.start() > start.start():
-            return None
-        worker_list = WorkerList(int(version[1]), is_snapshot=False)
-        for entry in _complete_entries(text, start.end()):
-            worker_id, state = _id_and_state(entry)
-            if worker_id and state in (WorkerState.DRAINING, WorkerState.GONE):
-                worker_list.unparsed_ids.append(worker_id)
-                worker_list.unparsed_states[worker_id] = state
-        return worker_list if worker_list.unparsed_states else None
-
     def to_json(self, version: int, endpoints: Sequence[WorkerEndpoint]) -> dict[str, Any]:
         """Return the snapshot of these workers in discovery's form, as `parse` takes it."""
         zones = {number: name for name, number in self._zone_numbers.items()}
@@ -199,8 +169,8 @@
         )
 
 
-def _id_and_state(entry: Any) -> tuple[str, WorkerState | None]:
-    """An entry's id, empty if it can't be read, and its state."""
+def id_and_state(entry: Any) -> tuple[str, WorkerState | None]:
+    """Return an entry's id, empty if it can't be read, and its state, None if that can't."""
     if not isinstance(entry, Mapping):
         return "", None
     worker_id, state = entry.get("id"), entry.get("state")
@@ -208,16 +178,3 @@
         worker_id if isinstance(worker_id, str) else "",
         STATES_BY_NAME.get(state) if isinstance(state, str) else None,
     )
-
-
-def _complete_entries(text: str, position: int) -> Iterator[Any]:
-    """The JSON values from a position on, up to the first that is incomplete."""
-    decoder = json.JSONDecoder()
-    while True:
-        separator = SEPARATOR_PATTERN.match(text, position)
-        position = separator.end() if separator else position
-        try:
-            entry, position = decoder.raw_decode(text, position)
-        except (ValueError, RecursionError):
-            return
-        yield entry
--- /dev/null
+++ b/beaconhinge/membership/partial_list.py
@@ -0,0 +1,192 @@
+"""Reads an endpoint list while it arrives, for the workers that leave by it.
+
+No I/O. The list is JSON; its pieces may end anywhere, also within an escape or a character. Taking a worker
+out of service on a part of a list is safe; putting one into service is not, nor is taking the version of a
+list whose end has not been seen. So an entry counts here as soon as its last byte is there, and only if it
+takes its worker out of service. All else waits for the end of the answer (`discovery_watch.py`).
+"""
+
+from __future__ import annotations
+
+import codecs
+import enum
+import json
+import re
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from typing import Any
+
+from ..policy.interface import WorkerState
+from .inventory import WorkerList, id_and_state
+
+# The longest part that is kept because a key, a value or an entry in it is incomplete. An entry takes some
+# 200 characters; what is longer is malformed, and is not scanned again with each further piece.
+MAX_INCOMPLETE_CHARACTERS = 16 * 1024
+# Entries kept until the version of their list is known, where it stands after them.
+MAX_ENTRIES_WITHOUT_VERSION = 4096
+
+WHITESPACE_PATTERN = re.compile(r"[ \t\n\r]*")
+
+
+class _Incomplete(Exception):  # noqa: N818  # no error: more has to come
+    """What comes next is not there yet, or not to its end."""
+
+
+class _Position(enum.Enum):
+    """What is read next."""
+
+    OPENING = enum.auto()  # the brace before the first key
+    KEY = enum.auto()
+    AFTER_VALUE = enum.auto()  # of a key
+    ENTRY = enum.auto()  # or the end of an empty list
+    AFTER_ENTRY = enum.auto()
+    END = enum.auto()  # all has been read
+    MALFORMED = enum.auto()  # nothing more is read
+
+
+@dataclass(frozen=True, slots=True)
+class LeavingEntries:
+    """Entries of a list that take their workers out of service.
+
+    Attributes:
+        version: The number of the list.
+        entries: As decoded, each with a readable id and state.
+    """
+
+    version: int
+    entries: list[Mapping[str, Any]] = field(default_factory=list)
+
+    def to_worker_list(self) -> WorkerList:
+        """Return them as changes, by id and state alone."""
+        states = dict(id_and_state(entry) for entry in self.entries)
+        known_states = {name: state for name, state in states.items() if state is not None}
+        return WorkerList(
+            self.version,
+            is_snapshot=False,
+            unparsed_ids=list(known_states),
+            unparsed_states=known_states,
+        )
+
+
+class PartialListReader:
+    """Reads one answer of discovery, piece by piece.
+
+    Attributes:
+        complete: Whether the JSON of the list has been read to its end.
+        version: The number of the list; None until it has been read.
+    """
+
+    def __init__(self) -> None:
+        """Begin before the first byte of an answer's body."""
+        self.version: int | None = None
+        self._characters = codecs.getincrementaldecoder("utf-8-sig")("replace")
+        self._json = json.JSONDecoder()
+        self._text = ""  # what is incomplete
+        self._next = 0  # the index of what is read next
+        self._position = _Position.OPENING
+        self._entries: list[Mapping[str, Any]] = []  # that leave, and are not returned yet
+
+    @property
+    def complete(self) -> bool:
+        """Whether the JSON of the list has been read to its end."""
+        return self._position is _Position.END
+
+    def feed(self, part: bytes) -> LeavingEntries | None:
+        """Read the next piece; never raises for what it holds.
+
+        Returns:
+            The entries completed by it that take a worker out of service; None if there are none, or if the
+            version of the list has not been read yet.
+        """
+        if self._position in (_Position.END, _Position.MALFORMED):
+            return None
+        self._text += self._characters.decode(part)
+        try:
+            while self._position not in (_Position.END, _Position.MALFORMED):
+                self._read_next()
+        except _Incomplete:
+            self._text, self._next = self._text[self._next :], 0
+            if len(self._text) > MAX_INCOMPLETE_CHARACTERS:
+                self._position = _Position.MALFORMED
+        if self._position in (_Position.END, _Position.MALFORMED):
+            self._text = ""
+        return self._take_entries()
+
+    def _take_entries(self) -> LeavingEntries | None:
+        if self.version is None or not self._entries:
+            return None
+        found, self._entries = LeavingEntries(self.version, self._entries), []
+        return found
+
+    def _read_next(self) -> None:
+        """Read one key with its value, one entry, or what stands between them."""
+        match self._position:
+            case _Position.OPENING:
+                self._expect({"{": _Position.KEY})
+            case _Position.KEY:
+                self._read_key()
+            case _Position.AFTER_VALUE:
+                self._expect({",": _Position.KEY, "}": _Position.END})
+            case _Position.ENTRY:
+                self._read_entry()
+            case _:
+                self._expect({",": _Position.ENTRY, "]": _Position.AFTER_VALUE})
+
+    def _peek(self) -> str:
+        """The next character that is no white space."""
+        blanks = WHITESPACE_PATTERN.match(self._text, self._next)
+        self._next = blanks.end() if blanks else self._next
+        if self._next == len(self._text):
+            raise _Incomplete
+        return self._text[self._next]
+
+    def _expect(self, positions: Mapping[str, _Position]) -> None:
+        """Read one of these characters, and go on at its position."""
+        self._position = positions.get(self._peek(), _Position.MALFORMED)
+        self._next += 1
+
+    def _decode(self, start: int) -> tuple[Any, int]:
+        """Decode a whole value, and return it with the index of what follows."""
+        try:
+            return self._json.raw_decode(self._text, start)
+        except RecursionError:
+            self._position = _Position.MALFORMED
+            raise _Incomplete from None
+        except ValueError:  # malformed, or incomplete: that can't be told apart here
+            raise _Incomplete from None
+
+    def _read_key(self) -> None:
+        """Read a key and its value; of the list of entries the opening bracket alone."""
+        key_start, start = self._next, 0
+        try:
+            if self._peek() != '"':
+                self._position = _Position.MALFORMED
+                return
+            key, self._next = self._decode(self._next)
+            if self._peek() != ":":
+                self._position = _Position.MALFORMED
+                return
+            self._next += 1
+            if self._peek() == "[" and key == "servers":
+                self._next, self._position = self._next + 1, _Position.ENTRY
+                return
+            start = self._next
+            value, self._next = self._decode(start)
+            self._peek()  # a number may go on in the next piece
+        except _Incomplete:
+            self._next = key_start
+            raise
+        if key == "version" and type(value) is int and value >= 0:
+            self.version = value
+        self._position = _Position.AFTER_VALUE
+
+    def _read_entry(self) -> None:
+        if self._peek() == "]":
+            self._next, self._position = self._next + 1, _Position.AFTER_VALUE
+            return
+        entry, end = self._decode(self._next)
+        worker_id, state = id_and_state(entry)
+        leaves = bool(worker_id) and state in (WorkerState.DRAINING, WorkerState.GONE)
+        if leaves and len(self._entries) < MAX_ENTRIES_WITHOUT_VERSION:
+            self._entries.append(entry)
+        self._next, self._position = end, _Position.AFTER_ENTRY
--- a/beaconhinge/net/discovery.py
+++ b/beaconhinge/net/discovery.py
@@ -18,6 +18,7 @@
 from ..dispatch.policy_runner import PolicyRunner
 from ..membership.discovery_watch import DiscoveryCall, DiscoveryWatch
 from ..membership.inventory import WorkerList, WorkerListError, WorkerListParser
+from ..membership.partial_list import LeavingEntries
 from ..policy import interface
 from ..policy.interface import UpdateKind
 from ..runtime.metrics import Metrics
@@ -89,7 +90,8 @@
         self._applier = ListApplier(policy_runner, workers, timers, metrics, wall_clock)
         self._bootstrap_list = config.bootstrap_list or WorkerList()
         self._poll_task: asyncio.Task[None] | None = None
-        self._connection = DiscoveryConnection(timers, metrics)
+        self._connection = self._new_connection()
+        self._leaving_applied = False  # workers were taken out of service since the last call was made
         self._call_ended = asyncio.Event()  # a call has been answered, or has failed
         self._log = ListLog(metrics)
         policy_runner.action_handlers[interface.SubscribeMembership] = self._subscribe
@@ -144,9 +146,11 @@
         """
         if address == self.address:
             return
+        polling = self._poll_task is not None
+        self._stop_polling("other_discovery")  # what the old one has written counts by its own versions
         self.address = address
         pause_s = self.watch.switch_discovery(self.timers.now(), self._random.random())
-        if self._poll_task is not None:  # the policy would ask again only when the old watch had failed
+        if polling:  # the policy would ask again only when the old watch had failed
             self._restart_polling("other_discovery", pause_s=pause_s)
 
     async def refresh(self) -> None:
@@ -176,6 +180,7 @@
         """Cancel the call that is out, if there is one."""
         if self._poll_task is not None:
             self._log.report_cancelled_call(why, self.version, self._connection.progress)
+            self._connection.close()
             self._poll_task.cancel()
             self._poll_task = None
 
@@ -183,14 +188,15 @@
         """Call now, and continue from there. One call at a time: no answer overtakes another."""
         self._stop_polling(why)
         self.watch.resync(snapshot)
-        self._connection = DiscoveryConnection(self.timers, self.metrics)
+        self._connection = self._new_connection()
         self._poll_task = self.metrics.spawn(self._poll(self._connection, pause_s), "watch")
 
     async def _poll(self, connection: DiscoveryConnection, pause_s: float) -> None:
         """One call after the other: first for what was missed, which is answered at once, then watches."""
         try:
             while True:
-                await asyncio.sleep(pause_s)
+                await connection.rest(pause_s)
+                self._leaving_applied = False
                 self.watch.entry_count = len(self.workers.workers)
                 started_s = self.timers.now()
                 call = self.watch.next_call(started_s)
@@ -211,7 +217,6 @@
             content = json.loads(body)
             worker_list = self.list_parser.parse(content)
         except (ValueError, RecursionError) as error:
-            self._salvage(body)
             raise WorkerListError(str(error)) from None
         worker_list.size_bytes = len(body)
         return DiscoveryAnswer(worker_list, content)
@@ -224,7 +229,7 @@
         if self.watch.failing:
             self.metrics.log("discovery_back", list_age=self.availability.list_age_s)
         self._applier.fill_in_unparsed(worker_list)
-        changes_workers = self.workers.would_change(worker_list)
+        changes_workers = self._leaving_applied or self.workers.would_change(worker_list)
         decision = self.watch.handle_answer(
             worker_list, elapsed_s, now, self._random.random(), changes_workers
         )
@@ -259,23 +264,32 @@
         was_watch = call.wait_s > 0
         self.availability.freshness.handle_failure(started_s, self.timers.now(), refused, was_watch)
         answer_begun, progress = connection.answer_begun, connection.progress
-        if answer_begun:
-            self._salvage(connection.unfinished_body())
         connection.close()
         silent = isinstance(error, TimeoutError) and not answer_begun
         event = "watch_silent" if silent and was_watch else "discovery_failed"
         self._log.report_failed_call(event, call, error, progress, self.availability.list_age_s)
         return self.watch.handle_failure(silent, self.timers.now(), self._random.random(), answer_begun)
 
-    def _salvage(self, body: bytes) -> None:
-        """Apply what a broken answer says of workers that leave; its version does not count."""
-        worker_list = self.list_parser.parse_partial(body)
-        if worker_list is None or worker_list.version < (self.version or 0):
+    def _new_connection(self) -> DiscoveryConnection:
+        return DiscoveryConnection(self.timers, self.metrics, self._apply_leaving)
+
+    def _apply_leaving(self, leaving: LeavingEntries) -> None:
+        """Take workers out of service by entries of an answer that may not have ended, or never will.
+
+        The change counts as notified once it is written. Waiting for the answer's end, or for the call to be
+        given up, had jobs sent to leaving workers for a second and longer. Its version does not count yet.
+        """
+        if leaving.version < (self.version or 0):
+            self.metrics.count("list_departures_older")
             return
+        now, worker_list = self.timers.now(), leaving.to_worker_list()
+        self.policy_runner.monitor.list_received({"full": False, "servers": leaving.entries}, now)
         self._applier.fill_in_unparsed(worker_list)
         if self.workers.would_change(worker_list):
-            entries = len(worker_list.endpoints)
-            self.metrics.count_and_log("list_salvaged", version=worker_list.version, entries=entries)
+            self._leaving_applied = True
+            self._log.report_departures(
+                worker_list, self.version, not self._connection.answer_whole, self._connection.progress
+            )
             self._apply(UpdateKind.CHANGES, worker_list)
 
     def _apply(self, kind: UpdateKind, worker_list: WorkerList) -> None:
--- a/beaconhinge/net/discovery_connection.py
+++ b/beaconhinge/net/discovery_connection.py
@@ -2,48 +2,76 @@
 
 from __future__ import annotations
 
+import asyncio
+from collections.abc import Callable
+
 from ..config import Address
-from ..membership.discovery_watch import BODY_IDLE_TIMEOUT_S, DiscoveryCall
+from ..membership.discovery_watch import BODY_IDLE_TIMEOUT_S, CONTENT_END_TIMEOUT_S, DiscoveryCall
+from ..membership.partial_list import LeavingEntries
 from ..runtime.metrics import Metrics
 from ..runtime.timer_wheel import TimerWheel
 from . import http1
-from .discovery_answer import AnswerProgress, AnswerRecorder
-from .http1 import BadMessage, Connection, Message
+from .discovery_answer import STATUS_OK, AnswerProgress, AnswerReader
+from .http1 import BadMessage, Closed, Connection, Message
 from .sockets import connect
 
 # 1,024 workers take some 400 KiB, indented.
 MAX_LIST_BYTES = 2 * 1024 * 1024
-STATUS_OK = 200
 
 
 class DiscoveryConnection:
-    """A connection to discovery, opened by the first call and again after each close."""
+    """A connection to discovery, opened by the first call and again after each close.
+
+    What arrives is read while it arrives, also while no call is out and right before a close: a change counts
+    as notified once it is written, whatever becomes of the answer that holds it.
+    """
+
+    def __init__(
+        self, timers: TimerWheel, metrics: Metrics, on_leaving: Callable[[LeavingEntries], None]
+    ) -> None:
+        """Create one that is not open yet.
 
-    def __init__(self, timers: TimerWheel, metrics: Metrics) -> None:
+        Args:
+            timers: The clock.
+            metrics: Where calls are counted.
+            on_leaving: Called with entries that take workers out of service, in the turn that read them.
+        """
         self._timers = timers
         self._metrics = metrics
         self._connection: Connection | None = None
-        self._recorder = AnswerRecorder(timers)
+        self._reader = AnswerReader(timers, on_leaving)
 
     @property
     def progress(self) -> AnswerProgress:
         """How far the answer to the latest call has come."""
-        return self._recorder.progress
+        return self._reader.progress
 
     @property
     def answer_begun(self) -> bool:
         """Whether an answer has begun and is incomplete."""
         return self._connection is not None and self._connection.partial
 
-    def unfinished_body(self) -> bytes:
-        """Return what has come of the body of an incomplete answer."""
-        return b"" if self._connection is None else self._connection.unfinished_body()
+    @property
+    def answer_whole(self) -> bool:
+        """Whether an answer has come to its end and is about to be taken."""
+        return self._connection is not None and self._connection.settled
 
     def close(self) -> None:
-        """Close the connection if there is one; the next call opens another."""
-        if self._connection is not None:
-            self._connection.close()
-            self._connection = None
+        """Read what has arrived, and close the connection if there is one; the next call opens another."""
+        connection, self._connection = self._connection, None
+        if connection is not None:
+            connection.read_arrived()
+            connection.close()
+
+    async def rest(self, pause_s: float) -> None:
+        """Wait until the next call is due, and read what comes meanwhile."""
+        end_s = self._timers.now() + pause_s
+        while self._connection is not None and (left_s := end_s - self._timers.now()) > 0:
+            reading = self._connection.reading()
+            done, _ = await asyncio.wait((reading,), timeout=left_s)
+            if done and not reading.result():
+                self.close()
+        await asyncio.sleep(max(0.0, end_s - self._timers.now()))
 
     async def fetch(self, address: Address, call: DiscoveryCall) -> bytes:
         """Make one call and return the body of its answer.
@@ -55,9 +83,9 @@
             BadMessage: The answer is not HTTP, is too large, or has another status than 200.
         """
         self._metrics.count("discovery_calls")
-        self._recorder.start_call()
+        self._reader.start_call()
         query = "" if call.index is None else f"?index={call.index}&wait={call.wait_s * 1000:.0f}"
-        if self._connection is not None and not self._connection.silent():
+        if self._connection is not None and not self._is_at_rest(self._connection):
             # A second answer to the call before: every later one would be taken for that of another call.
             self.close()
             self._metrics.count("discovery_unsolicited_answer")
@@ -65,7 +93,7 @@
             if self._connection is None:
                 sock = await connect(address)
                 self._connection = Connection(
-                    sock, False, lambda: None, MAX_LIST_BYTES, on_body_part=self._recorder.receive_body
+                    sock, False, lambda: None, MAX_LIST_BYTES, body_sink=self._reader
                 )
             connection = self._connection
             await connection.send(
@@ -79,14 +107,27 @@
             raise BadMessage(message.status, f"status {message.status}")
         return message.body
 
+    @staticmethod
+    def _is_at_rest(connection: Connection) -> bool:
+        """Whether nothing has come since the last answer."""
+        return not connection.partial and connection.silent()
+
     async def _receive(self, connection: Connection, timeout_s: float) -> Message:
-        """The rest of an answer that has begun: within the timeout, and as long as bytes come."""
+        """The rest of an answer that has begun: within the timeout, and as long as bytes come.
+
+        An answer whose list is complete is taken though its end does not come.
+        """
         deadline_s = self._timers.now() + timeout_s
-        while True:
-            received_before, left_s = connection.received, deadline_s - self._timers.now()
-            try:
-                async with self._timers.timeout(min(BODY_IDLE_TIMEOUT_S, left_s)):
-                    return await connection.next()
-            except TimeoutError:
-                if connection.received == received_before or self._timers.now() >= deadline_s:
-                    raise
+        try:
+            while not connection.settled:
+                complete = self._reader.content_complete
+                idle_s = CONTENT_END_TIMEOUT_S if complete else BODY_IDLE_TIMEOUT_S
+                async with self._timers.timeout(min(idle_s, deadline_s - self._timers.now())):
+                    if not await connection.reading():
+                        break
+            return await connection.next()
+        except (TimeoutError, Closed):
+            if not self._reader.content_complete:
+                raise
+        self._metrics.count("discovery_answers_unended")
+        return Message(status=STATUS_OK, body=connection.unfinished_body(), keep_alive=False)
--- a/beaconhinge/net/http1.py
+++ b/beaconhinge/net/http1.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from http import HTTPStatus
-from typing import Any
+from typing import Any, Protocol
 
 import httptools
 
@@ -20,6 +20,7 @@
 # One message raw, chunk framing and trailers included.
 MAX_MESSAGE_BYTES = MAX_HEAD_BYTES + 8 * MAX_BODY_BYTES
 MAX_MESSAGES_AHEAD = 4  # messages read ahead on a connection
+MAX_READS_BEFORE_CLOSE = 128  # of bytes that have arrived already
 READ_BYTES = 16 * 1024  # the buffer of a peer that has filled the first one
 FIRST_READ_BYTES = 2 * 1024  # the first buffer of each connection: most need no other
 
@@ -48,6 +49,22 @@
     keep_alive: bool = True
 
 
+class BodySink(Protocol):
+    """Takes bodies while they arrive, in the turn of the loop that reads them.
+
+    Called from within the parser, but for `finish_read`: the others must not raise.
+    """
+
+    def begin_message(self) -> None:
+        """A message has begun."""
+
+    def receive_body(self, status: int, part: bytes) -> None:
+        """A part of the body of a message, of that status where it is an answer."""
+
+    def finish_read(self) -> None:
+        """All that was read in this turn has been handed in."""
+
+
 class Connection:
     """One socket with its parser. At most one read is under way, see `reading`.
 
@@ -64,9 +81,9 @@
         on_close: Callable[[], None],
         max_body_bytes: int = MAX_BODY_BYTES,
         reserve_bytes: Callable[[int], bool] = lambda _count: True,
-        on_body_part: Callable[[bytes], None] | None = None,
+        body_sink: BodySink | None = None,
     ) -> None:
-        """`on_body_part` hears of each part of a body in the turn that reads it; it must not raise."""
+        """`body_sink` takes bodies while they arrive, beside the messages that are made of them."""
         self.sock = sock
         self.inbox: deque[Message] = deque()
         self.partial = False
@@ -76,7 +93,7 @@
         self._on_close = on_close
         self._open = True
         self._reserve_bytes = reserve_bytes
-        self._on_body_part = on_body_part
+        self._body_sink = body_sink
         self._reserved_bytes = 0  # bytes of bodies for which there is room taken
         self._buffer = bytearray(FIRST_READ_BYTES)
         self._view = memoryview(self._buffer)
@@ -96,6 +113,8 @@
         self._message, self._chunks = Message(), []
         self._raw_bytes = self._body_bytes = 0
         self.partial = self._in_head = True
+        if self._body_sink is not None:
+            self._body_sink.begin_message()
 
     def on_url(self, part: bytes) -> None:
         """Called by the parser, perhaps with a part."""
@@ -128,8 +147,8 @@
             if self._reserve_bytes(len(part)):
                 self._reserved_bytes += len(part)
                 self._chunks.append(part)
-                if self._on_body_part is not None:
-                    self._on_body_part(part)
+                if self._body_sink is not None:
+                    self._body_sink.receive_body(self._message.status, part)
             else:
                 self._fail(503, "too many bodies in hand: try again later")
 
@@ -164,6 +183,11 @@
         if count == 0:
             self._take_end()
             return False
+        self._parse(count)
+        return True
+
+    def _parse(self, count: int) -> None:
+        """Parse so many bytes of the buffer."""
         self._raw_bytes += count
         full = count == len(self._buffer) < READ_BYTES
         try:
@@ -181,7 +205,8 @@
             self._fail(413, "message too long")
         elif len(self.inbox) > MAX_MESSAGES_AHEAD:
             self._fail(400, "too many requests sent ahead")
-        return True
+        if self._body_sink is not None:
+            self._body_sink.finish_read()
 
     async def _receive(self) -> int:
         """Wait for bytes, and read them in the very turn that parses them."""
@@ -213,6 +238,20 @@
         """What has come of the body of a message that is not whole."""
         return b"".join(self._chunks)
 
+    @property
+    def settled(self) -> bool:
+        """Whether `next` returns or raises without another read."""
+        return bool(self.inbox) or self._fault is not None
+
+    def read_arrived(self) -> None:
+        """Read what has arrived and nobody has read yet, up to a bound, without waiting."""
+        with contextlib.suppress(OSError):  # nothing more is there, or the connection has broken
+            for _ in range(MAX_READS_BEFORE_CLOSE):
+                count = self.sock.recv_into(self._buffer)
+                if count == 0:
+                    return
+                self._parse(count)
+
     async def begun(self) -> None:
         """Wait for the first bytes of a message."""
         while not self.inbox and not self.partial and self._fault is None:
--- a/beaconhinge/net/list_log.py
+++ b/beaconhinge/net/list_log.py
@@ -113,6 +113,28 @@
                 received=progress.body_bytes,
             )
 
+    def report_departures(
+        self, leaving: WorkerList, known: int | None, unfinished: bool, progress: AnswerProgress
+    ) -> None:
+        """Count workers that were taken out of service before their answer was taken.
+
+        Args:
+            leaving: The workers, as changes.
+            known: The version of the applied list.
+            unfinished: Whether the answer has not ended, or is dropped: if so, it is logged.
+            progress: How far it has come.
+        """
+        self._metrics.count("list_departures_applied", len(leaving.endpoints))
+        if unfinished:
+            self._metrics.log(
+                "list_departures_applied",
+                version=leaving.version,
+                known=known,
+                workers=len(leaving.endpoints),
+                first_byte=progress.first_byte_s,
+                received=progress.body_bytes,
+            )
+
     def trace_unchanged(self, worker_list: WorkerList, known: Sequence[WorkerEndpoint]) -> None:
         """Trace an answer that is not applied, with the known workers and the lists applied last."""
         self._metrics.trace(
--- a/beaconhinge/net/worker_pool.py
+++ b/beaconhinge/net/worker_pool.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable, Sequence
 
 from ..config import Config
 from ..dispatch.attempt import Attempt
@@ -139,10 +139,14 @@
         worker = self.workers.get(worker_number(host_id))
         return worker is not None and worker.host.id == host_id
 
-    def known_endpoints(self, host_ids: Iterable[str]) -> list[WorkerEndpoint]:
+    def known_endpoints(self, host_ids: Sequence[str]) -> list[WorkerEndpoint]:
         """Those of the workers with these ids that are known."""
-        known = {worker.host.id: worker.host for worker in self.workers.values()}
-        return [known[host_id] for host_id in host_ids if host_id in known]
+        known = (self.workers.get(worker_number(host_id)) for host_id in host_ids)
+        return [
+            worker.host
+            for host_id, worker in zip(host_ids, known, strict=True)
+            if worker is not None and worker.host.id == host_id
+        ]
 
     def endpoints(self) -> list[WorkerEndpoint]:
         """All workers that the list names."""
