Spoilt lists: the workers that stay have room for the jobs of the test

The test failed once beside load: healthy workers were ejected. Cause: 80 jobs a second of 0.25 s fill 20 slots, and the four workers that stay have 16. Jobs of 0.1 s fill 8. What the test checks is as before, ejections included.

--- a/tests/recovery/test_spoilt_lists.py
+++ b/tests/recovery/test_spoilt_lists.py
@@ -22,6 +22,7 @@
         workers=6,
         rate=80.0,
         keyed=0.0,
+        render_s=0.1,  # the workers that stay have room: a full one may well be ejected for its lateness
         seconds=11.0,
         recovery=False,
         store=False,
