--- a/beaconhinge/membership/partial_list.py
+++ b/beaconhinge/membership/partial_list.py
@@ -17,7 +17,7 @@
 from typing import Any
 
 from ..policy.interface import WorkerState
-from .inventory import WorkerList, id_and_state
+from .inventory import STATES_BY_NAME, WorkerList, id_and_state
 
 # The longest part that is kept because a key, a value or an entry in it is incomplete. An entry takes some
 # 200 characters; what is longer is malformed, and is not scanned again with each further piece.
@@ -26,6 +26,12 @@
 MAX_ENTRIES_WITHOUT_VERSION = 4096
 
 WHITESPACE_PATTERN = re.compile(r"[ \t\n\r]*")
+# An entry without escapes or nested values, and the comma after it. Most workers stay: their entries are
+# passed over by it, without being decoded.
+PLAIN_ENTRY_PATTERN = re.compile(r'\{[^"{}\[\]\\]*+(?:"[^"\\]*+"[^"{}\[\]\\]*+)*+\}[ \t\n\r]*+,[ \t\n\r]*+')
+LEAVING_STATE_PATTERN = re.compile(
+    "|".join(name for name, state in STATES_BY_NAME.items() if state is not WorkerState.READY)
+)
 
 
 class _Incomplete(Exception):  # noqa: N818  # no error: more has to come
@@ -180,7 +186,18 @@
             self.version = value
         self._position = _Position.AFTER_VALUE
 
+    def _skip_staying(self) -> None:
+        """Pass over plain entries without a state that takes their workers out of service."""
+        text, start = self._text, self._next
+        leaving = LEAVING_STATE_PATTERN.search(text, start)
+        end = leaving.start() if leaving else len(text)
+        while (entry := PLAIN_ENTRY_PATTERN.match(text, start)) is not None and entry.end() <= end:
+            start = entry.end()
+        self._next = start
+
     def _read_entry(self) -> None:
+        self._peek()
+        self._skip_staying()
         if self._peek() == "]":
             self._next, self._position = self._next + 1, _Position.AFTER_VALUE
             return
--- a/tests/net/test_discovery.py
+++ b/tests/net/test_discovery.py
@@ -568,3 +568,93 @@
     )
     one.handle(102.0, interface.MembershipUpdate(UpdateKind.SNAPSHOT, 3, members(2)))
     assert {w.id for w in one.worker_table.listed[-1]} == {m.worker for m in members(2)}
+
+
+async def leaves_service(harness: Harness) -> None:
+    """Jobs go to worker 1 alone, from this moment on."""
+    await serve_all(harness, 1)
+    assert harness.workers[0].seen.empty()
+
+
+def test_changes_in_place_of_the_snapshot_take_leaving_workers_out_at_once() -> None:
+    """Both answers were passed over, and each repeat came after a growing pause: jobs for 0.33 s and longer."""
+
+    async def scenario(harness: Harness) -> None:
+        async def script(message: ReceivedMessage) -> bytes | None:
+            if "index=" in message.start_line:  # an answer that makes the next call ask for the snapshot
+                return changes(2)
+            return changes(3, harness.host(0, state="Terminating"))
+
+        harness.discovery.script = script
+        harness.discovery.cut()
+        await next_call(harness, "GET /discovery/hosts HTTP")
+        await asyncio.sleep(0.05)
+        await leaves_service(harness)
+
+    run_scenario(scenario, workers=2)
+
+
+@pytest.mark.parametrize("version", [1, 3])
+def test_part_of_an_older_list_takes_nobody_out(version: int) -> None:
+    async def scenario(harness: Harness) -> None:
+        async def script(message: ReceivedMessage) -> bytes | None:
+            if "index=2" in message.start_line:
+                part = changes(version, harness.host(0, state="Terminating"))
+                return part.replace(b"}]}", b"}]")
+            return changes(2, harness.host(0), harness.host(1), full=True)
+
+        harness.discovery.script = script
+        harness.discovery.cut()
+        await next_call(harness, "index=2")
+        await asyncio.sleep(0.05)
+        request = asyncio.create_task(harness.post(X_Request_ID="r0"))
+        other = asyncio.create_task(harness.post(X_Request_ID="r1"))
+        await harness.workers[1].seen.get()
+        if version == 1:  # both workers have a job each, as one of two equal ones has the fewest
+            await harness.workers[0].seen.get()
+        else:
+            await harness.workers[1].seen.get()
+            assert harness.workers[0].seen.empty()
+        for task in (request, other):
+            task.cancel()
+
+    run_scenario(scenario, workers=2)
+
+
+def test_news_of_the_discovery_before_counts_as_the_configuration_moves_on() -> None:
+    """SIGHUP cancels the call: what the old discovery had written lay unread in its connection."""
+
+    async def scenario(harness: Harness) -> None:
+        async def script(message: ReceivedMessage) -> bytes | None:
+            if "index=2" in message.start_line:
+                part = changes(3, harness.host(0, state="Terminating"))
+                return part.replace(b"}]}", b"}]")  # it does not end
+            return changes(2, harness.host(0), harness.host(1), full=True)
+
+        harness.discovery.script = script
+        harness.discovery.cut()
+        await next_call(harness, "index=2")
+        harness.reload(discovery=f"127.0.0.1:{harness.workers[0].port}")  # where nobody answers such a call
+        await asyncio.sleep(0.05)
+        harness.workers[0].seen = asyncio.Queue()
+        await serve_all(harness, 1)
+        sent = [harness.workers[0].seen.get_nowait() for _ in range(harness.workers[0].seen.qsize())]
+        assert not [message for message in sent if message.start_line.startswith("POST")]
+
+    run_scenario(scenario, workers=2)
+
+
+def test_change_in_a_complete_list_without_an_end_is_applied_with_its_version() -> None:
+    async def scenario(harness: Harness) -> None:
+        async def script(message: ReceivedMessage) -> bytes | None:
+            if "index=7&wait=" in message.start_line:
+                await asyncio.Event().wait()
+            content = json.dumps({"version": 7, "full": True, "servers": [harness.host(1)]}).encode()
+            return b"HTTP/1.1 200 X\r\nContent-Length: %d\r\n\r\n%s" % (len(content) + 1, content)
+
+        harness.discovery.script = script
+        harness.discovery.cut()
+        await next_call(harness, "index=7&wait=")
+        await leaves_service(harness)
+
+    run_scenario(scenario, workers=2)
