Wait in the queue of a discovery that has refused a call, in place of giving up in it

Lists were up to 20.8 s old, since each call that did not wait was given up after 2.0 s in a queue of 3 s (4.5 calls a second), and discovery works on it all the same. Change: a call that follows a 503 may take 4.0 s; one without a refusal before it 2.0 s as before.

--- a/beaconhinge/membership/discovery_watch.py
+++ b/beaconhinge/membership/discovery_watch.py
@@ -43,6 +43,9 @@
 # First-byte timeouts of a call that does not wait. Discovery works on a call that was given up all the same,
 # and its retry comes on top.
 POLL_FIRST_BYTE_TIMEOUT_S = 2.0
+# The same once discovery has refused a call itself (503): it is there, and its queue is full. It works on
+# calls that were given up all the same: whoever gives up in the queue comes to stand behind its own call.
+OVERLOADED_FIRST_BYTE_TIMEOUT_S = 4.0
 # The same of a call that only confirms: an overloaded discovery is not to be waited for.
 CONFIRMING_FIRST_BYTE_TIMEOUT_S = 0.7
 # The same right after a silent watch, whose changes count as notified soon.
@@ -172,6 +175,7 @@
         self._backoff_s = 0.0  # the window of the last retry; 0: the last call has not failed
         self._after_silent_watch = False  # the call that follows a silent watch is not answered yet
         self._failure_count = 0  # consecutive
+        self._overloaded = False  # discovery has refused the last call itself
         self._wrong_answer_pause_s = 0.0  # after the last answer that was not the snapshot asked for; 0: none
         self._last_call = DiscoveryCall(None, 0.0, POLL_FIRST_BYTE_TIMEOUT_S)
 
@@ -229,6 +233,8 @@
             return min(AGENT_FIRST_BYTE_TIMEOUT_S * float(2**doublings), AGENT_FIRST_BYTE_TIMEOUT_MAX_S)
         if self._confirming:
             return CONFIRMING_FIRST_BYTE_TIMEOUT_S
+        if self._overloaded:
+            return OVERLOADED_FIRST_BYTE_TIMEOUT_S
         if self._after_silent_watch:
             return AFTER_SILENT_WATCH_FIRST_BYTE_TIMEOUT_S
         return POLL_FIRST_BYTE_TIMEOUT_S
@@ -352,7 +358,14 @@
         """Have the list read anew, as the one that was taken last has not been applied completely."""
         self.verification.handle_doubt(now)
 
-    def handle_failure(self, silent: bool, now: float, jitter: float, answer_begun: bool = False) -> float:
+    def handle_failure(
+        self,
+        silent: bool,
+        now: float,
+        jitter: float,
+        answer_begun: bool = False,
+        refused_by_discovery: bool = False,
+    ) -> float:
         """Decide on the retry of a call that has failed.
 
         Args:
@@ -360,6 +373,7 @@
             now: The current time.
             jitter: Drawn from 0 to 1.
             answer_begun: Whether the answer had begun.
+            refused_by_discovery: Whether the answer says that discovery has too many callers.
 
         Returns:
             The time to the next call.
@@ -367,7 +381,7 @@
         if self._confirming and not self.pushed:
             self.verification.handle_overload(now)
             return CALL_SPACING_S  # back to the watch, which costs discovery nothing
-        self._watching = False
+        self._watching, self._overloaded = False, refused_by_discovery
         self._failure_count += 1
         if self.pushed:
             return AGENT_RETRY_WINDOW_S * (0.5 + jitter / 2)
@@ -387,3 +401,4 @@
 
     def _reset_backoff(self) -> None:
         self._backoff_s, self._after_silent_watch, self._failure_count = 0.0, False, 0
+        self._overloaded = False
--- a/beaconhinge/net/discovery.py
+++ b/beaconhinge/net/discovery.py
@@ -34,6 +34,8 @@
 # serves before it has its list.
 START_SPREAD_PER_DISPATCHER_S = 0.01
 START_SPREAD_MAX_S = 3.0
+# By these discovery says that it has too many callers.
+OVERLOAD_STATUSES = (429, 503)
 # The time between signs that this process runs.
 RUN_CHECK_S = 0.15
 
@@ -267,8 +269,12 @@
         connection.close()
         silent = isinstance(error, TimeoutError) and not answer_begun
         event = "watch_silent" if silent and was_watch else "discovery_failed"
-        self._log.report_failed_call(event, call, error, progress, self.availability.list_age_s)
-        return self.watch.handle_failure(silent, self.timers.now(), self._random.random(), answer_begun)
+        elapsed_s, list_age_s = self.timers.now() - started_s, self.availability.list_age_s
+        self._log.report_failed_call(event, call, error, elapsed_s, progress, list_age_s)
+        refused_by_discovery = isinstance(error, BadMessage) and error.status in OVERLOAD_STATUSES
+        return self.watch.handle_failure(
+            silent, self.timers.now(), self._random.random(), answer_begun, refused_by_discovery
+        )
 
     def _new_connection(self) -> DiscoveryConnection:
         return DiscoveryConnection(self.timers, self.metrics, self._apply_leaving)
--- a/beaconhinge/net/list_log.py
+++ b/beaconhinge/net/list_log.py
@@ -78,7 +78,13 @@
         )
 
     def report_failed_call(
-        self, name: str, call: DiscoveryCall, error: Exception, progress: AnswerProgress, list_age_s: float
+        self,
+        name: str,
+        call: DiscoveryCall,
+        error: Exception,
+        elapsed_s: float,
+        progress: AnswerProgress,
+        list_age_s: float,
     ) -> None:
         """Count and log a call that failed, with what had come of its answer.
 
@@ -86,6 +92,7 @@
             name: The event's name: `watch_silent` or `discovery_failed`.
             call: The call.
             error: How it failed.
+            elapsed_s: The time from the call to its failure.
             progress: How far its answer had come.
             list_age_s: Seconds since discovery last confirmed the list.
         """
@@ -94,6 +101,7 @@
             why=f"{type(error).__name__}: {error}",
             index=call.index,
             wait=call.wait_s,
+            after=elapsed_s,
             first_byte=progress.first_byte_s,
             last_byte=progress.last_byte_s,
             received=progress.body_bytes,
--- a/tests/membership/test_discovery_watch.py
+++ b/tests/membership/test_discovery_watch.py
@@ -35,8 +35,8 @@
     def poll(self) -> DiscoveryCall:
         return self.next_call(self.now)
 
-    def fail(self, silent: bool, jitter: float) -> float:
-        return self.handle_failure(silent, self.now, jitter)
+    def fail(self, silent: bool, jitter: float, refused: bool = False) -> float:
+        return self.handle_failure(silent, self.now, jitter, refused_by_discovery=refused)
 
     def take(self, worker_list: WorkerList, after: float, differs: bool = True) -> WatchDecision:
         return self.handle_answer(worker_list, after, self.now, 0.5, differs)
@@ -298,3 +298,64 @@
     watch.take(answer(7, False, {"id": "s-1", "addr": "127.0.0.1:9", "state": "Gone"}), 0.01)
     watch.now += CALL_SPACING_S
     assert (watch.poll().index is None) is prompt
+
+
+class QueueingDiscovery:
+    """A discovery that answers in turn and refuses at once who would wait too long; it works on calls that were
+    given up all the same.
+    """
+
+    def __init__(self, seconds_per_call: float, longest_wait_s: float) -> None:
+        self.seconds_per_call, self.longest_wait_s = seconds_per_call, longest_wait_s
+        self.busy_until = 0.0
+        self.worked_in_vain = 0
+
+    def call(self, now: float, timeout_s: float) -> tuple[bool, bool, float]:
+        """Whether it is answered, whether it is refused, and after how long that is known."""
+        starts = max(self.busy_until, now)
+        if starts - now > self.longest_wait_s:
+            return False, True, 0.005
+        self.busy_until = starts + self.seconds_per_call
+        waited = self.busy_until - now
+        self.worked_in_vain += waited > timeout_s
+        return waited <= timeout_s, False, min(waited, timeout_s)
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_refused_group_waits_in_the_queue_of_an_overloaded_discovery(seed: int) -> None:
+    """32 dispatchers, 4.5 calls a second, a queue of 3 s. Each call was given up after 2 s, in the queue: seen were
+    lists 20 s old, and requests to workers that had left long before. In 7.2 s all can be answered once.
+    """
+    discovery, rng = QueueingDiscovery(1 / 4.5, 3.0), random.Random(seed)
+    events, group, answered_at = list[tuple[float, int]](), {}, dict[int, float]()
+    for number in range(32):
+        watch = group[number] = watching(size=32)
+        watch.poll()
+        events.append((watch.fail(silent=False, jitter=rng.random(), refused=True), number))
+    while events and min(events)[0] < 60.0:
+        now, number = event = min(events)
+        events.remove(event)
+        watch = group[number]
+        answered, refused, after = discovery.call(now, watch.poll().first_byte_timeout_s)
+        if answered:
+            answered_at[number] = now + after
+        else:
+            pause_s = watch.fail(silent=not refused, jitter=rng.random(), refused=refused)
+            events.append((now + after + pause_s, number))
+    assert discovery.worked_in_vain == 0
+    assert len(answered_at) == 32
+    assert max(answered_at.values()) < 10.5
+
+
+def test_silent_call_after_a_refusal_is_followed_by_one_of_the_usual_length() -> None:
+    watch = watching(size=32)
+    usual_s = watch.poll().first_byte_timeout_s
+    watch.fail(silent=False, jitter=0.5, refused=True)
+    assert watch.poll().first_byte_timeout_s > 3.0
+    watch.fail(silent=True, jitter=0.5)
+    assert watch.poll().first_byte_timeout_s == 2.0 < usual_s
+    watch.fail(silent=False, jitter=0.5, refused=True)
+    watch.poll()
+    watch.take(answer(6, True), 0.1)
+    watch.fail(silent=False, jitter=0.5)
+    assert watch.poll().first_byte_timeout_s == 2.0
