--- a/beaconhinge/__main__.py
+++ b/beaconhinge/__main__.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
+import asyncio
 import os
 import signal
 import sys
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Coroutine, Mapping
 from pathlib import Path
 from typing import TYPE_CHECKING
 
@@ -18,6 +19,7 @@
 if TYPE_CHECKING:
     from .config.local import LocalConfig
 
+SIGNALS_IGNORED_AT_END = {signal.SIGHUP, signal.SIGTERM, signal.SIGINT, signal.SIGUSR1}
 EXIT_OK = 0
 EXIT_FAILED = 1
 EXIT_BAD_CONFIG = 2
@@ -45,7 +47,8 @@
             if local_config.platform.config:
                 environment = {**environment, "RELAY_CONFIG": local_config.platform.config}
         shared_folder = Path(environment["TMPDIR"]) if environment.get("TMPDIR") else None
-        uvloop.run(serve(lambda: load(environment), local_config, shared_folder, read_local_config))
+        read_config = lambda: load(environment)  # noqa: E731
+        uvloop.run(_serve_to_the_end(serve(read_config, local_config, shared_folder, read_local_config)))
     except ConfigError as error:
         return _complain(f"{error}", EXIT_BAD_CONFIG)
     except Error as error:
@@ -55,6 +58,19 @@
     return EXIT_OK
 
 
+async def _serve_to_the_end(serving: Coroutine[None, None, None]) -> None:
+    """Serve, and ignore signals after that: the loop restores the default actions as it closes.
+
+    One that came then ended the process with the status of the signal, though all was answered.
+    """
+    await serving
+    loop = asyncio.get_running_loop()
+    signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS_IGNORED_AT_END)
+    for number in SIGNALS_IGNORED_AT_END:
+        loop.remove_signal_handler(number)
+        signal.signal(number, signal.SIG_IGN)
+
+
 def _complain(why: str, status: int) -> int:
     print(f"beaconhinge: {why}", file=sys.stderr)
     return status
