Soak: earliest SIGKILL, signals in series, crowds, connections used to the end, answers without an end

Need: the rig ended processes by SIGTERM and waited for them, so that nothing was lost by a kill, and every attempt round a restart was excused. Change: the fault restart sends SIGTERM, further signals in series and SIGKILL at the longest deadline (drawn: 0.8, 1.5, 3 s) and 0.7 s; clients come by a front and use what is open until it ends; whatever a process in its end has taken and not answered breaks the run. The fault crowd holds more idle connections than there is room for.

--- a/beaconhinge/standin/http.py
+++ b/beaconhinge/standin/http.py
@@ -142,13 +142,14 @@
         except (Closed, ConnectionError):
             return await self.call(data, fresh=True)
 
+    def has_idle(self) -> bool:
+        """Whether a connection is kept that has not ended."""
+        while self._idle and not self._idle[-1].silent():
+            self._idle.pop().close()
+        return bool(self._idle)
+
     def _take(self) -> Connection | None:
-        while self._idle:
-            connection = self._idle.pop()
-            if connection.silent():
-                return connection
-            connection.close()
-        return None
+        return self._idle.pop() if self.has_idle() else None
 
     def close(self) -> None:
         """Close the kept connections."""
--- a/beaconhinge/standin/rig/clients.py
+++ b/beaconhinge/standin/rig/clients.py
@@ -17,10 +17,16 @@
 ANSWER_GRACE_S = 2.0
 # Times the client's time-out that one attempt with a key may take, of the three times that all have together.
 KEYED_TIMEOUT_FACTOR = 1.5
+# Dispatchers that a request is sent to, one after the other, while it finds nobody.
+MAX_SENDS = 3
 # Seconds until a client with a key comes again.
 RETRY_DELAY_S = 0.3
 
 
+class NobodyThereError(Exception):
+    """No dispatcher that the front knows of took the connection."""
+
+
 class Clients:
     """All clients of a scenario: jobs come by a Poisson process, each at a dispatcher of its own choice."""
 
@@ -30,6 +36,7 @@
         ports: list[int],
         extra_s: Callable[[], float],
         reached_worker: Callable[[str], bool],
+        takes_new_connections: Callable[[int], bool] = lambda _dispatcher: True,
     ) -> None:
         """Take what the clients ask for, and whom.
 
@@ -38,10 +45,12 @@
             ports: Of the dispatchers, by number.
             extra_s: Returns for how many seconds jobs come beyond the scenario's own end.
             reached_worker: Whether a worker has had the request of that id.
+            takes_new_connections: Whether the front opens connections to the dispatcher of that number.
         """
         self.scenario = scenario
         self.extra_s = extra_s
         self.reached_worker = reached_worker
+        self.takes_new_connections = takes_new_connections
         self.random = random.Random(scenario.seed)
         self.callers = [Caller(port) for port in ports]
         self.attempts: list[ClientAttempt] = []
@@ -133,6 +142,8 @@
         except TimeoutError:
             if disconnects:
                 attempt.outcome, attempt.disconnected_at = "left", time.monotonic()
+        except NobodyThereError:
+            attempt.outcome = "nobody"
         except (OSError, Closed, BadMessage):
             pass
         attempt.ended_at = time.monotonic()
@@ -144,6 +155,8 @@
         A request that crossed the end of a kept connection goes once more, on a new one and with the time
         that is left; one that must not run twice only if no worker has had it.
         """
+        if self.scenario.front:
+            return await self._call_through_front(attempt, headers)
         caller = self.callers[attempt.dispatcher]
         try:
             return await caller.call(self._encode(attempt, headers))
@@ -152,6 +165,36 @@
                 raise
             return await caller.call(self._encode(attempt, headers), fresh=True)
 
+    async def _call_through_front(self, attempt: ClientAttempt, headers: dict[str, str]) -> Message:
+        """Return the answer of the dispatcher that was meant, or of the next one where that finds nobody.
+
+        A connection that is open is used for as long as it is. What crossed its end goes on unless a worker
+        has had it: then it had been read, and is lost.
+        """
+        only_new = False
+        for _ in range(MAX_SENDS):
+            attempt.dispatcher, is_kept = self._deal(attempt.dispatcher, only_new)
+            caller = self.callers[attempt.dispatcher]
+            try:
+                return await caller.call(self._encode(attempt, headers), fresh=only_new)
+            except ConnectionRefusedError:
+                only_new = True
+            except (Closed, ConnectionError):
+                if not is_kept or self.reached_worker(attempt.request_id):
+                    raise
+                only_new = True
+        raise NobodyThereError
+
+    def _deal(self, meant: int, only_new: bool) -> tuple[int, bool]:
+        """Return the dispatcher that gets a request, and whether by a connection that is open already."""
+        if not only_new and self.callers[meant].has_idle():
+            return meant, True
+        for step in range(len(self.callers)):
+            dispatcher = (meant + step) % len(self.callers)
+            if self.takes_new_connections(dispatcher):
+                return dispatcher, not only_new and self.callers[dispatcher].has_idle()
+        raise NobodyThereError
+
     def _encode(self, attempt: ClientAttempt, headers: dict[str, str]) -> bytes:
         left_s = attempt.sent_at + attempt.timeout_s - time.monotonic()
         timed = {**headers, "X-Timeout-Ms": str(max(1, int(1000 * left_s)))}
--- a/beaconhinge/standin/rig/faults.py
+++ b/beaconhinge/standin/rig/faults.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import signal
 import time
 from functools import partial
 
+from ...net.sockets import connect
 from ..workers import FakeWorker
 from .process import Process
 from .record import Drain, RunRecord
@@ -50,6 +52,8 @@
             "stop": partial(self._pause, fault, numbers),
             "kill": partial(self._restart, fault, numbers),
             "term": partial(self._restart, fault, numbers),
+            "restart": partial(self._shut_down, fault, numbers),
+            "crowd": partial(self._crowd, fault, numbers),
             "cut": partial(self._drop_datagrams, fault, numbers),
             "lossy": partial(self._drop_datagrams, fault, numbers),
             "discovery": partial(self._take_discovery_out, fault, numbers),
@@ -94,6 +98,33 @@
             self._orphan_counts.append(asyncio.create_task(self._count_orphans(plain_jobs)))
         return len(ended)
 
+    async def _shut_down(self, fault: Fault, numbers: list[int]) -> int:
+        """Count the processes that were ended as the platform ends them, and started again."""
+        ending = [process for process in self._processes(numbers) if _can_restart(process, fault)]
+        further = [signal.Signals[f"SIG{name}"] for name in fault.signals]
+        kill_after_s = self.topology.scenario.kill_after_s
+        self.record.shutdowns += await asyncio.gather(
+            *(process.shut_down(kill_after_s, further, fault.signal_gap_s) for process in ending)
+        )
+        await asyncio.sleep(fault.duration_s)
+        await asyncio.gather(*(process.start() for process in ending))
+        return len(ending)
+
+    async def _crowd(self, fault: Fault, numbers: list[int]) -> int:
+        """Count the idle connections that were made."""
+        began = time.monotonic()
+        async with contextlib.AsyncExitStack() as held:
+            made = 0
+            for number in numbers:
+                for _ in range(fault.connections):
+                    with contextlib.suppress(OSError):
+                        held.callback((await connect(("127.0.0.1", self.topology.ports[number]))).close)
+                        made += 1
+            await asyncio.sleep(fault.duration_s)
+        for number in numbers:
+            self.record.crowded_spans.setdefault(number, []).append((began, time.monotonic()))
+        return made
+
     def _plain_jobs_of(self, processes: list[Process]) -> list[tuple[FakeWorker, JobKey]]:
         """Return the jobs without a key that workers run for these processes: they count by their request."""
         ports = {process.port for process in processes}
@@ -223,5 +254,5 @@
     One that another fault is ending comes back by that one; one that is starting has not learned yet to end
     in order.
     """
-    too_early = process.starting and fault.kind == "term"
+    too_early = process.starting and fault.kind in ("term", "restart")
     return process.running and not process.ending and not too_early
--- a/beaconhinge/standin/rig/judge.py
+++ b/beaconhinge/standin/rig/judge.py
@@ -13,11 +13,13 @@
 from .clients import ANSWER_GRACE_S
 from .record import FinishedRun
 from .verdict import (
+    ClientAttempt,
     Verdict,
     attempts_after_disconnect,
     ejections_logged,
     keys_run_twice,
     lease_violations,
+    lost_in_shutdowns,
     missing_without_excuse,
     overstated_deadlines,
     served_share_of_attempts,
@@ -59,6 +61,7 @@
     broken = [
         *_broken_by_requests(run, runs),
         *_broken_by_processes(run, counters, ejections),
+        *_broken_by_shutdowns(run),
         *_broken_by_sends(run),
         *_broken_by_leases(run),
         *_nothing_shown(run),
@@ -161,7 +164,8 @@
 def _broken_by_requests(run: FinishedRun, runs: Counter[str]) -> Iterator[str]:
     attempts = run.clients.attempts
     down_spans = [process.down_spans for process in run.topology.processes]
-    for lost in islice(missing_without_excuse(attempts, down_spans, ANSWER_GRACE_S), MAX_EXAMPLES):
+    unanswered = missing_without_excuse(attempts, down_spans, ANSWER_GRACE_S)
+    for lost in islice((a for a in unanswered if not _shut_by_crowd(run, a)), MAX_EXAMPLES):
         yield f"no answer from dispatcher {lost.dispatcher} to a {lost.job_class}"
     once = [*run.clients.answered, *(a.request_id for a in attempts if a.job_class == "transfer")]
     for key in keys_run_twice({key: runs[key] for key in once}):
@@ -186,6 +190,26 @@
             yield f"{name}: {count}"
 
 
+def _broken_by_shutdowns(run: FinishedRun) -> Iterator[str]:
+    shutdowns = run.record.shutdowns
+    for shutdown in shutdowns:
+        if shutdown.status and not shutdown.killed:
+            yield f"dispatcher {shutdown.process} ended with status {shutdown.status} after SIGTERM"
+    lost = lost_in_shutdowns(run.clients.attempts, shutdowns, lambda attempt: _shut_by_crowd(run, attempt))
+    yield from lost[:MAX_EXAMPLES]
+
+
+def _shut_by_crowd(run: FinishedRun, attempt: ClientAttempt) -> bool:
+    """Whether a crowd may have had its connection shut unread; what came to a worker had been read."""
+    spans = run.record.crowded_spans.get(attempt.dispatcher, [])
+    met = any(begun <= attempt.ended_at and attempt.sent_at <= ended for begun, ended in spans)
+    return met and not any(
+        deadline.request == attempt.request_id
+        for worker in run.topology.workers
+        for deadline in worker.deadlines
+    )
+
+
 def _broken_by_sends(run: FinishedRun) -> list[str]:
     deadlines = [deadline for worker in run.topology.workers for deadline in worker.deadlines]
     overstatements = overstated_deadlines(run.clients.attempts, deadlines, DEADLINE_SLACK_S)
--- a/beaconhinge/standin/rig/process.py
+++ b/beaconhinge/standin/rig/process.py
@@ -7,14 +7,36 @@
 import shutil
 import time
 from collections import Counter
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
 from pathlib import Path
-from signal import SIGCONT, SIGSTOP, Signals
+from signal import SIGCONT, SIGKILL, SIGSTOP, SIGTERM, Signals
 from typing import Any
 
 from ..harness import SceneError, end, log_lines, start, until_up
 
 
+@dataclass(frozen=True, slots=True)
+class Shutdown:
+    """A planned end of a process. Times are of the rig's clock.
+
+    Attributes:
+        process: The number of the process.
+        term_at: When it got SIGTERM.
+        ended_at: When it had ended, by itself or by SIGKILL.
+        killed: Whether SIGKILL ended it.
+        paused: Whether it was stopped by SIGSTOP meanwhile.
+        status: Its exit status.
+    """
+
+    process: int
+    term_at: float
+    ended_at: float
+    killed: bool
+    paused: bool
+    status: int
+
+
 class Process:
     """One dispatcher's process, which is ended and started again in the course of a run.
 
@@ -43,6 +65,7 @@
         self._end_count = 0
         self.starting = False
         self.ending = False
+        self.term_at: float | None = None  # when it got SIGTERM; None unless it is ending by that
         self._down_at: float | None = None
         self._reader: asyncio.Task[None] | None = None
         self._process: asyncio.subprocess.Process | None = None
@@ -114,11 +137,51 @@
         self.ending = True
         status = await end(self._process, number)
         self.ending = False
+        await self._collect_counters()
+        return status
+
+    async def shut_down(
+        self, kill_after_s: float, further_signals: Sequence[Signals], signal_gap_s: float
+    ) -> Shutdown:
+        """End it as the platform does: SIGTERM, and SIGKILL so many seconds later.
+
+        Args:
+            kill_after_s: Seconds from SIGTERM to SIGKILL.
+            further_signals: Sent one after the other meanwhile.
+            signal_gap_s: Seconds between two of them.
+        """
+        assert self._process is not None
+        self._end_count += 1
+        self.ending, self.term_at = True, time.monotonic()
+        paused = self._down_at is not None
+        self.signal(SIGTERM)
+        series = asyncio.create_task(self._send_series(further_signals, signal_gap_s))
+        killed = False
+        try:
+            async with asyncio.timeout(kill_after_s):
+                await self._process.wait()
+        except TimeoutError:
+            killed = self.signal(SIGKILL)
+            await self._process.wait()
+        series.cancel()
+        paused |= self._down_at is not None
+        term_at, ended_at = self.term_at, time.monotonic()
+        self._down_at, self.ending, self.term_at = self._down_at or ended_at, False, None
+        await self._collect_counters()
+        assert self._process.returncode is not None
+        return Shutdown(self.number, term_at, ended_at, killed, paused, self._process.returncode)
+
+    async def _send_series(self, numbers: Sequence[Signals], gap_s: float) -> None:
+        for number in numbers:
+            await asyncio.sleep(gap_s)
+            self.signal(number)
+
+    async def _collect_counters(self) -> None:
+        """Read the log to its end, and add up the counters that were reported last."""
         if self._reader is not None:
             await self._reader
         self.counters.update(self._last_counters)
         self._last_counters = {}
-        return status
 
     def delete_folder(self) -> None:
         """Start next with an empty folder."""
--- a/beaconhinge/standin/rig/record.py
+++ b/beaconhinge/standin/rig/record.py
@@ -9,6 +9,7 @@
 
 from ..workers import FakeWorker
 from .clients import Clients
+from .process import Shutdown
 from .scenario import Scenario
 from .topology import Topology
 from .verdict import Act, TimeSpan
@@ -44,6 +45,10 @@
     silent_since: dict[int, float] = field(default_factory=dict)
     discovery_outages: dict[int, list[TimeSpan]] = field(default_factory=dict)
     spoilt_spans: dict[int, list[TimeSpan]] = field(default_factory=dict)
+    # Planned ends of processes, in their order.
+    shutdowns: list[Shutdown] = field(default_factory=list)
+    # When idle clients held connections, by number of the dispatcher.
+    crowded_spans: dict[int, list[TimeSpan]] = field(default_factory=dict)
     # Plain jobs of a killed process that workers still ran some time after its return.
     orphaned_jobs: int = 0
     # Seconds by which a fault that is over ended later than planned.
--- a/beaconhinge/standin/rig/runner.py
+++ b/beaconhinge/standin/rig/runner.py
@@ -20,6 +20,8 @@
 
 # Seconds after the last answer, in which what a fault left behind shows.
 SETTLE_S = 1.0
+# Seconds for which the front still opens connections to a dispatcher that has had SIGTERM.
+FRONT_NOTICES_S = 0.4
 
 
 class ScenarioRun:
@@ -41,7 +43,11 @@
         self.fault_injector = FaultInjector(self.topology, self.record)
         self.lease_resource = LeaseResource(scenario, self.record.lease_acts)
         self.clients = Clients(
-            scenario, self.topology.ports, self.fault_injector.late_s, self._has_reached_worker
+            scenario,
+            self.topology.ports,
+            self.fault_injector.late_s,
+            self._has_reached_worker,
+            self._takes_new_connections,
         )
 
     def _has_reached_worker(self, request_id: str) -> bool:
@@ -51,6 +57,13 @@
             for deadline in worker.deadlines
         )
 
+    def _takes_new_connections(self, dispatcher: int) -> bool:
+        """Whether the front sends new connections to a dispatcher."""
+        process = self.topology.processes[dispatcher]
+        if process.term_at is not None:
+            return time.monotonic() - process.term_at < FRONT_NOTICES_S
+        return process.running and not process.ending and not process.starting
+
     async def run(self) -> Verdict:
         """Run the scenario to its end and judge it. Raises SceneError where a process does not start."""
         topology, record = self.topology, self.record
--- a/beaconhinge/standin/rig/scenario.py
+++ b/beaconhinge/standin/rig/scenario.py
@@ -15,8 +15,21 @@
 from ..workers import WorkerFault
 
 FaultKind = Literal[
-    "stop", "kill", "term", "cut", "lossy", "discovery", "mute", "drain", "spoil", "reload", "workers"
+    "stop",
+    "kill",
+    "term",
+    "restart",
+    "cut",
+    "lossy",
+    "discovery",
+    "mute",
+    "drain",
+    "spoil",
+    "reload",
+    "workers",
+    "crowd",
 ]
+SeriesSignal = Literal["TERM", "HUP", "USR1", "CONT"]
 DrawnKind = Literal["stop", "kill", "term", "cut", "lossy"]
 # `stop` is drawn twice as often as each other kind.
 DRAWN_KINDS: tuple[DrawnKind, ...] = ("stop", "stop", "kill", "term", "cut", "lossy")
@@ -25,6 +38,10 @@
 MAX_SCENARIO_S = 600.0
 # Jobs a second.
 MAX_RATE = 2000.0
+# From SIGTERM to SIGKILL at a planned restart: the longest deadline, or this where that is longer ...
+MAX_AWAITED_DEADLINE_S = 3.0
+# ... and this beside it.
+KILL_MARGIN_S = 0.7
 # Chance that a drawn kill hits all dispatchers.
 KILL_ALL_CHANCE = 0.2
 
@@ -37,11 +54,13 @@
     """One fault, with its time. The attributes carry other names in files, which stand in brackets.
 
     Kinds: `stop`: SIGSTOP, and SIGCONT after the duration. `kill`, `term`: that signal, and a start again
-    after the duration, with the same, an empty or another folder. `cut`: datagrams to the destinations are
-    dropped. `lossy`: a share of all datagrams is lost, and as many come twice. `discovery`: it is out.
-    `mute`: the watches that are open fall silent for good. `drain`: the first workers drain, in one version
-    of the list. `spoil`: answers of discovery are spoilt. `reload`: SIGHUP. `workers`: the last worker that
-    has no fault yet treats its jobs as the worker fault says.
+    after the duration, with the same, an empty or another folder. `restart`: SIGTERM, further signals,
+    SIGKILL as early as the platform has it, and a start again after the duration. `cut`: datagrams to the
+    destinations are dropped. `lossy`: a share of all datagrams is lost, and as many come twice. `discovery`:
+    it is out. `mute`: the watches that are open fall silent for good. `drain`: the first workers drain, in
+    one version of the list. `spoil`: answers of discovery are spoilt. `reload`: SIGHUP. `workers`: the last
+    worker that has no fault yet treats its jobs as the worker fault says. `crowd`: idle clients hold as many
+    connections as they get.
 
     Attributes:
         at_s: Seconds from the scenario's beginning.
@@ -53,6 +72,9 @@
         workers: For `drain`, how many [boxes].
         spoil: For `spoil` [how].
         worker_fault: For `workers` [trouble].
+        signals: For `restart`, sent after SIGTERM.
+        signal_gap_s: Seconds between these.
+        connections: For `crowd`, how many at each dispatcher.
         folder: For `kill`: `other` is a copy of another's store, `old` its own as it was before the scenario.
     """
 
@@ -67,6 +89,9 @@
     spoil: Spoil = msgspec.field(default=Spoil.NO_ENTRIES, name="how")
     worker_fault: WorkerFault = msgspec.field(default=WorkerFault.HANG, name="trouble")
     folder: Literal["same", "empty", "other", "old"] = "same"
+    signals: list[SeriesSignal] = msgspec.field(default_factory=list)
+    signal_gap_s: float = 0.1
+    connections: int = 100
 
 
 class Scenario(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -97,6 +122,10 @@
         lease_act_interval_s: Between two acts of a holder [act_s].
         ejections_judged: Whether the ejection of a healthy worker breaks the scenario.
         every_fault_hits: Whether a fault that hits nothing breaks the scenario.
+        front: Whether clients come through a front, which opens no connection to a dispatcher that has had
+            SIGTERM for 0.4 s or is known to be down, and sends what found nobody to another one.
+        longest_deadline_s: Of all classes; 0: as the settings have them. Clients wait no longer.
+        sockets: Limit of each dispatcher; 0: as the platform has it.
         system_calls: How those of every second process fail, as `shim.environment` has it.
         drawn_faults: How many more, of every kind, are drawn from the seed [drawn].
     """
@@ -130,10 +159,19 @@
     ejections_judged: bool = True
     every_fault_hits: bool = True
     system_calls: str = ""
+    front: bool = False
+    longest_deadline_s: float = 0.0
+    sockets: int = 0
 
     drawn_faults: int = msgspec.field(default=0, name="drawn")
     faults: list[Fault] = []
 
+    @property
+    def kill_after_s(self) -> float:
+        """Seconds from SIGTERM to SIGKILL at a planned restart."""
+        longest_s = self.longest_deadline_s or MAX_AWAITED_DEADLINE_S
+        return min(longest_s, MAX_AWAITED_DEADLINE_S) + KILL_MARGIN_S
+
     def affected_dispatchers(self, fault: Fault) -> list[int]:
         """Return the numbers of the dispatchers that a fault meets."""
         return fault.dispatchers or list(range(self.processes))
--- a/beaconhinge/standin/rig/soak.py
+++ b/beaconhinge/standin/rig/soak.py
@@ -12,7 +12,7 @@
 
 from ..discovery import Spoil
 from ..workers import WorkerFault
-from .scenario import Fault, FaultKind, Scenario
+from .scenario import Fault, FaultKind, Scenario, SeriesSignal
 
 SCENARIO_S = 17.0
 # When faults begin, in seconds: so that what holds 6 s later can still be seen.
@@ -25,7 +25,8 @@
     "stop",
     "kill",
     "kill",
-    "term",
+    "restart",
+    "restart",
     "reload",
     "cut",
     "lossy",
@@ -37,10 +38,18 @@
     "workers",
     "workers",
 )
+# Longest deadlines of a deployment, in seconds: SIGKILL comes 0.7 s after the longest.
+LONGEST_DEADLINES_S = (0.8, 1.5, 3.0)
+# Of dispatchers that meet a crowd, which holds more connections than they have room for.
+CROWDED_SOCKETS = 96
+CROWD_CONNECTIONS = 120
+# Signals sent after SIGTERM, while a process ends.
+SERIES: tuple[SeriesSignal, ...] = ("HUP", "TERM", "HUP", "USR1")
 # Seconds from a fault within which another begins that is to meet it.
 MEETING_DISTANCE_S = 0.3
 # Chances that a scenario, or a fault, is of a kind.
 PUSHED_CHANCE = 0.25
+CROWD_CHANCE = 0.25
 RECOVERY_CHANCE = 0.3
 MEETING_CHANCE = 0.5
 
@@ -61,6 +70,12 @@
             _draw_fault(rng, min(max(at, FIRST_FAULT_AT_S), LAST_FAULT_AT_S), processes, drain.workers)
         )
     faults = [fault for fault in faults if not (pushed and fault.kind == "spoil")]
+    crowded = rng.random() < CROWD_CHANCE
+    if crowded:
+        at = rng.uniform(FIRST_FAULT_AT_S, LAST_FAULT_AT_S)
+        who = rng.sample(range(processes), max(1, processes // 3))
+        faults.append(Fault(at, "crowd", rng.uniform(1.0, 4.0), who, connections=CROWD_CONNECTIONS))
+    longest_s = rng.choice(LONGEST_DEADLINES_S)
     recovery = rng.random() < RECOVERY_CHANCE  # without it nobody knows a key that another dispatcher has
     return Scenario(
         f"soak of {processes}",
@@ -75,7 +90,11 @@
         disconnecting=0.1,
         render_s=0.1,
         publish_s=0.3,
-        client_timeout_s=2.0,
+        # A client with a key waits one and a half times as long.
+        client_timeout_s=longest_s / 1.5 if recovery else longest_s,
+        front=True,
+        longest_deadline_s=longest_s,
+        sockets=CROWDED_SOCKETS if crowded else 0,
         seconds=SCENARIO_S,
         pushed_membership=pushed,
         recovery=recovery,
@@ -95,8 +114,10 @@
             fault = Fault(at, kind, rng.choice((0.2, 0.5, 2.0, 7.0)), dispatchers)
         case "kill":
             fault = Fault(at, kind, rng.choice((0.1, 1.0, 6.5)), dispatchers)
-        case "term":
-            fault = Fault(at, kind, rng.uniform(0.05, 0.5), dispatchers)
+        case "restart":
+            signals = rng.sample(SERIES, rng.randint(0, len(SERIES)))
+            gap_s = rng.uniform(0.0, 0.6)
+            fault = Fault(at, kind, rng.uniform(0.05, 0.5), dispatchers, signals=signals, signal_gap_s=gap_s)
         case "reload":
             fault = Fault(at, kind, 0.1, dispatchers)
         case "cut":
--- a/beaconhinge/standin/rig/topology.py
+++ b/beaconhinge/standin/rig/topology.py
@@ -21,6 +21,8 @@
 from .scenario import Scenario
 
 UNSAFE_CLASS = {"name": "transfer", "aim": 2.0, "hardLimit": 7.5, "semantics": "fragile"}
+# Of a dispatcher whose sockets are limited.
+MEMORY_MB = 192
 # Seconds in which a deduplication group drops a repeat.
 DEDUPLICATION_WINDOW_S = 40.0
 
@@ -107,8 +109,13 @@
             "peer_listen": f"{host}:{port}",
             "peers": peers,
             "peers_all": everyone,
+            **self._limits(),
         }
 
+    def _limits(self) -> dict[str, object]:
+        sockets = self.scenario.sockets
+        return {"limits": {"memory_mb": MEMORY_MB, "sockets": sockets}} if sockets else {}
+
     def _settings(self, number: int) -> dict[str, object]:
         limits = {**SETTINGS["policyLimits"], "peers": True, "connectTimeout": 0.25}
         tenants = [
@@ -119,6 +126,8 @@
         if self.scenario.unsafe:
             classes = [*classes, UNSAFE_CLASS]
             family = {**family, "classKind": [-1] * 3, "classStretch": [2.0] * 3}
+        if self.scenario.longest_deadline_s:
+            classes = [{**one, "hardLimit": self.scenario.longest_deadline_s} for one in classes]
         return {
             **SETTINGS,
             "requestClasses": classes,
--- a/beaconhinge/standin/rig/verdict.py
+++ b/beaconhinge/standin/rig/verdict.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from typing import Any
 
 import msgspec
 
 from ..workers import ReceivedDeadline
+from .process import Shutdown
 
 TimeSpan = tuple[float, float]
 
@@ -124,6 +125,37 @@
     ]
 
 
+def lost_in_shutdowns(
+    attempts: Iterable[ClientAttempt],
+    shutdowns: Sequence[Shutdown],
+    excuse: Callable[[ClientAttempt], bool],
+) -> list[str]:
+    """Find attempts that a process in a planned end had taken and never answered.
+
+    What it takes it has to answer before SIGKILL, which comes no sooner than the longest deadline and 0.7 s
+    after SIGTERM. A process that was stopped meanwhile could not.
+    """
+    found = []
+    for shutdown in shutdowns:
+        lost = [
+            attempt
+            for attempt in attempts
+            if attempt.outcome == "missing"
+            and attempt.dispatcher == shutdown.process
+            and shutdown.term_at < attempt.ended_at
+            and attempt.sent_at < shutdown.ended_at
+            and not shutdown.paused
+            and not excuse(attempt)
+        ]
+        found += [
+            f"dispatcher {shutdown.process} lost a {attempt.job_class} that came "
+            f"{attempt.sent_at - shutdown.term_at:.2f} s after SIGTERM"
+            f"{', when SIGKILL came' if shutdown.killed else ''}"
+            for attempt in lost
+        ]
+    return found
+
+
 def lease_violations(acts: Iterable[Act]) -> list[str]:
     """Find acts of two tenures at one time, and numbers accepted after greater ones."""
     found, last = list[str](), dict[str, Act]()
--- a/tests/cli/test_soak.py
+++ b/tests/cli/test_soak.py
@@ -16,7 +16,20 @@
 from beaconhinge.standin.rig.soak import LAST_FAULT_AT_S, SCENARIO_S, draw_soak, shrink
 from beaconhinge.standin.workers import WorkerFault
 
-KINDS = {"drain", "stop", "kill", "term", "reload", "cut", "lossy", "discovery", "mute", "spoil", "workers"}
+KINDS = {
+    "drain",
+    "stop",
+    "kill",
+    "restart",
+    "reload",
+    "cut",
+    "lossy",
+    "discovery",
+    "mute",
+    "spoil",
+    "workers",
+    "crowd",
+}
 
 
 def test_the_draw_is_the_same_for_a_seed_and_holds_every_kind_over_some() -> None:
