--- a/tests/cli/test_soak.py
+++ b/tests/cli/test_soak.py
@@ -134,3 +134,16 @@
     assert "failed: none" in out
     assert "drain 2" in out
     assert "shim_short_write" in out
+
+
+def test_fixed_seeds_with_early_kills_and_answers_without_an_end_break_nothing(
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    """Two deployments with deadlines of 0.8 s: restarts with signals in series, crowds, lists that stop or trickle."""
+    failed = [seed for seed in (2035, 2285) if main(["soak", "--seeds", str(seed), "--processes", "8"])]
+    out = capsys.readouterr().out
+    assert not failed, out
+    assert out.count("failed: none") == 2
+    for kind in ("restart", "crowd", "reload", "stop", "spoil"):
+        assert f"{kind} 0" not in out
+        assert f" {kind} " in out
