Known red: a request behind a crowd, in a process that stood still, counts as just come

Room for those behind a crowd is made 0.1 s and more after the process goes on, when what waited meanwhile is taken for new (dispatch/arrivals.py).

--- a/tests/net/test_listener.py
+++ b/tests/net/test_listener.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import re
+import socket
+import time
 
 import pytest
 from harness import Harness, ReceivedMessage, accept_job, job_bytes, read_message, reply, run_scenario
@@ -403,3 +405,24 @@
             writer.close()
 
     run_scenario(scenario, limits={"sockets": 64})
+
+
+def test_request_that_waited_behind_a_crowd_while_the_process_stood_still_has_the_rest_of_its_time() -> None:
+    """Soak seed 2020: a process stood still for 2 s, in which more idle clients came than it has room for.
+
+    Room is made for those behind them 0.1 s and more after it goes on, and what they had sent is then taken for
+    something that has just come: workers were given up to 1.8 s more than their clients had left.
+    """
+
+    async def scenario(harness: Harness) -> None:
+        address = ("127.0.0.1", harness.port)
+        idle = [socket.create_connection(address) for _ in range(70)]
+        client = socket.create_connection(address)
+        client.sendall(job_bytes(X_Timeout_Ms="4000"))
+        time.sleep(1.5)  # noqa: ASYNC251  # the process stands still
+        attempt = await harness.workers[0].seen.get()
+        assert int(attempt.headers["x-timeout-ms"]) <= 4000 - 1500 + 150
+        for sock in [*idle, client]:
+            sock.close()
+
+    run_scenario(scenario, limits={"memory_mb": 192, "sockets": 64})
