Rig: a signal to a process that has just ended does not take its exit status away

The process object collects the status before it sends a signal, and the event loop's own watcher then finds nothing. Signals go by the process id now.

--- a/beaconhinge/standin/rig/process.py
+++ b/beaconhinge/standin/rig/process.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
+import os
 import shutil
 import time
 from collections import Counter
@@ -113,7 +115,10 @@
         if not self.running:
             return False
         assert self._process is not None
-        self._process.send_signal(number)
+        # Not by the process object: it would first collect the status of a process that has just ended, which
+        # the event loop then misses.
+        with contextlib.suppress(ProcessLookupError):
+            os.kill(self._process.pid, number)
         return True
 
     def pause(self) -> bool:
