--- a/beaconhinge/application.py
+++ b/beaconhinge/application.py
@@ -188,7 +188,6 @@
             await self.snapshots.write()
             await self.snapshots.store.close()
             self.metrics.counters.update(self.snapshots.store.engine.counters)
-        self.discovery.stop()
         self.metrics.log_counters()
         self.metrics.log("stopped")
 
--- a/beaconhinge/net/discovery.py
+++ b/beaconhinge/net/discovery.py
@@ -93,7 +93,6 @@
         self._bootstrap_list = config.bootstrap_list or WorkerList()
         self._poll_task: asyncio.Task[None] | None = None
         self._connection = self._new_connection()
-        self._stopped = False
         self._leaving_applied = False  # workers were taken out of service since the last call was made
         self._call_ended = asyncio.Event()  # a call has been answered, or has failed
         self._log = ListLog(metrics)
@@ -162,11 +161,6 @@
         self._restart_polling("refresh")
         await self._call_ended.wait()
 
-    def stop(self) -> None:
-        """Make no further call: a watch begun while the loop closes would be pending as it ends."""
-        self._stopped = True
-        self._stop_polling("stopped")
-
     def _check(self) -> None:
         self.timers.after(RUN_CHECK_S, self._check)
         self._applier.observe_clocks()
@@ -194,8 +188,6 @@
 
     def _restart_polling(self, why: str, snapshot: bool = False, pause_s: float = 0.0) -> None:
         """Call now, and continue from there. One call at a time: no answer overtakes another."""
-        if self._stopped:
-            return
         self._stop_polling(why)
         self.watch.resync(snapshot)
         self._connection = self._new_connection()
