Fire no timer once all is answered: a task begun while the loop closes stayed pending

Cause: timers came due while the loop that ends cancelled its tasks, and began new ones: a watch of discovery, where the process had been held up for a second. Ruled out: a task that ignores its cancellation (none waits after one, by reading).

Change: TimerWheel.stop at the end of Application.stop; it holds for every timer, not for discovery's alone.

Measured: the new test finds a watch without the change and nothing with it.

--- a/beaconhinge/application.py
+++ b/beaconhinge/application.py
@@ -188,6 +188,7 @@
             await self.snapshots.write()
             await self.snapshots.store.close()
             self.metrics.counters.update(self.snapshots.store.engine.counters)
+        self.timers.stop()
         self.metrics.log_counters()
         self.metrics.log("stopped")
 
--- a/beaconhinge/runtime/timer_wheel.py
+++ b/beaconhinge/runtime/timer_wheel.py
@@ -43,6 +43,7 @@
         self._wakeup: asyncio.TimerHandle | None = None
         self._wakeup_tick = 0  # the tick for which the loop's timer is set
         self._firing = False
+        self._stopped = False
         self.postponed_for: Callable[[], float] = lambda: 0.0
 
     def after(self, seconds: float, call: Callable[[], object]) -> Timer:
@@ -51,6 +52,8 @@
             self._last_tick = max(self._last_tick, self._current_tick())
         due = max(math.ceil((self.now() + seconds - self._origin) / TICK_S), self._last_tick + 1)
         timer = Timer(due, call)
+        if self._stopped:
+            return timer
         self._slots[due % SLOTS].append(timer)
         self._count += 1
         if not self._firing and (self._wakeup is None or due < self._wakeup_tick):
@@ -61,6 +64,14 @@
         """Bound the time of an `async with` block."""
         return Timeout(self, seconds)
 
+    def stop(self) -> None:
+        """Fire nothing from now on: a task that a timer begins while the loop closes would stay pending."""
+        self._stopped = True
+        self._count = 0
+        self._slots = [[] for _ in range(SLOTS)]
+        if self._wakeup is not None:
+            self._wakeup.cancel()
+
     def fire_due(self) -> None:
         """Fire what is due. A late loop catches up; more than a whole turn late, each slot is seen once."""
         wait = self.postponed_for()
--- a/tests/runtime/test_timer_wheel.py
+++ b/tests/runtime/test_timer_wheel.py
@@ -44,6 +44,20 @@
     asyncio.run(run())
 
 
+def test_nothing_fires_after_the_stop_whenever_it_was_asked_for() -> None:
+    async def run() -> None:
+        now, fired = [0.0], list[str]()
+        timers = TimerWheel(lambda: now[0], lambda where, error: None)
+        timers.after(TICK_S, lambda: fired.append("before"))
+        timers.stop()
+        timers.after(TICK_S, lambda: fired.append("after"))
+        now[0] += 1.0
+        timers.fire_due()
+        assert fired == []
+
+    asyncio.run(run())
+
+
 def test_a_limit_ends_its_body_with_a_time_out_and_passes_on_a_cancel() -> None:
     async def run() -> None:
         timers = TimerWheel(Clock().now, lambda where, error: None)
--- a/tests/test_application.py
+++ b/tests/test_application.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import re
+import time
 from typing import Any
 
 import pytest
@@ -124,3 +125,22 @@
         await harness.running
 
     run_scenario(scenario)
+
+
+def test_nothing_is_begun_after_the_last_answer_though_the_process_is_held_up_then() -> None:
+    """A process that ended beside load printed that a watch was destroyed while it was pending.
+
+    Each timer that came due while the loop closed could begin a task after all others had been cancelled; a watch
+    of discovery was begun since the process had been held up.
+    """
+
+    async def scenario(harness: Harness) -> None:
+        await harness.stop()
+        await harness.running
+        before = asyncio.all_tasks()
+        time.sleep(1.1)  # noqa: ASYNC251  # the process is held up, and its watch is void
+        for _ in range(10):
+            await asyncio.sleep(0)
+        assert {task.get_name() for task in asyncio.all_tasks() - before} == set()
+
+    run_scenario(scenario)
