--- a/tests/recovery/test_deadlines.py
+++ b/tests/recovery/test_deadlines.py
@@ -3,10 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import time
 
 import pytest
 
+from beaconhinge.net import http1
+from beaconhinge.standin.http import Server
 from beaconhinge.standin.rig import Fault, Scenario, run_scenario
+from beaconhinge.standin.rig.clients import Clients
 from beaconhinge.standin.rig.judge import DEADLINE_SLACK_S
 from beaconhinge.standin.rig.verdict import ClientAttempt, overstated_deadlines
 from beaconhinge.standin.workers import ReceivedDeadline
@@ -47,3 +51,29 @@
         == []
     )
     assert len(overstated_deadlines(asked, [ReceivedDeadline("r1", 12.0, 1.3)], DEADLINE_SLACK_S)) == 1
+
+
+def test_a_client_whose_time_is_up_sends_its_request_to_nobody_else() -> None:
+    """Cut off by a stopped process that was killed, it asked the next one with 1 ms left, 1.2 s after its time."""
+    answers = [http1.response(200), None, http1.response(200)]
+    seen: list[str] = []
+
+    async def answer(message: http1.Message) -> bytes | None:
+        seen.append(message.headers["x-request-id"])
+        return answers[len(seen) - 1]
+
+    async def run() -> str:
+        server = Server(answer)
+        server.start()
+        scenario = Scenario("late", processes=1, front=True)
+        clients = Clients(scenario, [server.port], lambda: 0.0, lambda _request_id: False)
+        now = time.monotonic()
+        first = ClientAttempt("", "render", 0, now, request_id="in-time", timeout_s=3.0)
+        late = ClientAttempt("", "render", 0, now - 2.0, request_id="late", timeout_s=1.5)
+        await clients._send_attempt(first)
+        outcome = await clients._send_attempt(late)
+        await server.stop()
+        return outcome
+
+    assert asyncio.run(run()) == "missing"
+    assert seen == ["in-time", "late"]
