--- a/beaconhinge/standin/rig/judge.py
+++ b/beaconhinge/standin/rig/judge.py
@@ -19,6 +19,7 @@
     ejections_logged,
     keys_run_twice,
     lease_violations,
+    leases_without_acts,
     lost_in_shutdowns,
     missing_without_excuse,
     overstated_deadlines,
@@ -221,9 +222,7 @@
     yield from lease_violations(run.record.lease_acts)
     since = _last_fault_ended(run)
     until = since + LEASE_HELD_WITHIN_SPANS * run.scenario.lease_span_s + LEASE_HELD_SLACK_S
-    for lease in run.lease_names:
-        if not any(since < act.begin <= until for act in run.record.lease_acts if act.lease == lease):
-            yield f"nobody acted under lease {lease} in time after the last fault"
+    yield from leases_without_acts(run.lease_names, run.record.lease_acts, since, until)
 
 
 def _nothing_shown(run: FinishedRun) -> Iterator[str]:
--- a/beaconhinge/standin/rig/verdict.py
+++ b/beaconhinge/standin/rig/verdict.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Callable, Iterable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
 from typing import Any
 
 import msgspec
@@ -172,6 +172,26 @@
     return found
 
 
+def leases_without_acts(
+    leases: Iterable[str], acts: Sequence[Act], since: float, until: float
+) -> Iterator[str]:
+    """Find leases that nobody began an act under in a span, with the acts next to its beginning.
+
+    These tell a lease that has a holder late from one that has none, and from a holder that cannot act.
+    """
+    for lease in leases:
+        of_lease = [act for act in acts if act.lease == lease]
+        if any(since < act.begin <= until for act in of_lease):
+            continue
+        before = max((act.end - since for act in of_lease if act.begin <= since), default=None)
+        after = min((act.begin - since for act in of_lease if act.begin > since), default=None)
+        yield (
+            f"nobody acted under lease {lease} in time after the last fault: "
+            f"{'none before it' if before is None else f'the last before it ended at {before:+.2f} s'}, "
+            f"{'none after it' if after is None else f'the next began at {after:+.2f} s'}"
+        )
+
+
 def overstated_deadlines(
     attempts: Iterable[ClientAttempt], deadlines: Iterable[ReceivedDeadline], slack: float
 ) -> list[str]:
--- a/tests/leases/test_lease_rehearsals.py
+++ b/tests/leases/test_lease_rehearsals.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from beaconhinge.standin.rig import Fault, Scenario, Verdict, run_scenario
-from beaconhinge.standin.rig.verdict import Act, lease_violations
+from beaconhinge.standin.rig.verdict import Act, lease_violations, leases_without_acts
 
 QUIET: dict[str, Any] = {
     "workers": 3,
@@ -94,3 +94,13 @@
     assert len(lease_violations([*acts, Act("a", 3, 1.9, 2.1)])) == 1
     assert len(lease_violations([*acts, Act("a", 1, 2.5, 2.6)])) == 1
     assert lease_violations([*acts, Act("a", 1, 1.9, 2.1, accepted=False)]) == []
+
+
+def test_the_judge_tells_a_lease_that_is_held_late_from_one_that_nobody_holds() -> None:
+    acts = [Act("a", 1, 9.0, 9.5), Act("a", 2, 14.5, 14.6), Act("b", 1, 8.0, 9.0), Act("c", 1, 12.0, 12.1)]
+    prefix = "nobody acted under lease"
+    assert list(leases_without_acts(["a", "b", "c", "d"], acts, since=10.0, until=14.0)) == [
+        f"{prefix} a in time after the last fault: the last before it ended at -0.50 s, the next began at +4.50 s",
+        f"{prefix} b in time after the last fault: the last before it ended at -1.00 s, none after it",
+        f"{prefix} d in time after the last fault: none before it, none after it",
+    ]
