--- a/beaconhinge/cli/demo.py
+++ b/beaconhinge/cli/demo.py
@@ -89,7 +89,7 @@
     workers = Table(title="script boxes")
     for name in ("box", "in work", "taken", "done", "turned away"):
         workers.add_column(name, justify="right")
-    for worker in fleet.boxes:
+    for worker in fleet.workers:
         counts = (str(worker.counters[name]) for name in ("taken", "done", "turned_away"))
         workers.add_row(worker.name, str(len(worker.jobs)), *counts)
     client_table = Table(title="clients")
--- a/beaconhinge/cli/leases.py
+++ b/beaconhinge/cli/leases.py
@@ -25,7 +25,10 @@
 ANSWER = 2.0  # seconds that a dispatcher has to answer a call
 AGAIN = 0.25  # seconds between calls that keep a lease
 NEXT = 0.75  # seconds after which another slot of a counted lease is tried
-TERM_BEFORE, KILL_BEFORE = 0.5, 0.1  # seconds before the lease ends that the command is told to, and made to
+TERM_BEFORE, KILL_BEFORE = (
+    0.5,
+    0.1,
+)  # seconds before the lease ends at which the command is asked to end, and made to
 
 
 class CallFailed(Error):
@@ -56,15 +59,15 @@
 
     Example: beaconhinge leases list --mgmt 127.0.0.1:9100
     """
-    told: dict[str, Any] = json.loads(_call(mgmt, "lease-list"))
+    listing: dict[str, Any] = json.loads(_call(mgmt, "lease-list"))
     if as_json:
-        print(json.dumps(told))
+        print(json.dumps(listing))
         return 0
     print(
-        f"members {' '.join(map(str, told['members']))} under number {told['council']}; "
-        f"this one votes in {told['votes_in_s']:g} s"
+        f"members {' '.join(map(str, listing['members']))} under number {listing['council']}; "
+        f"this one votes in {listing['votes_in_s']:g} s"
     )
-    for name, lease in told["leases"].items():
+    for name, lease in listing["leases"].items():
         held = f"held here, number {lease['number']}, {lease['left_s']:g} s left"
         what = held if lease["held"] else "not held here"
         voted = f"; vote for dispatcher {lease['vote_for']}" if lease["vote_for"] >= 0 else ""
--- a/beaconhinge/standin/__init__.py
+++ b/beaconhinge/standin/__init__.py
@@ -1,1 +1,1 @@
-"""Stand-ins for what is outside: disks, script boxes, discovery, clients. For tests, demo, rehearsals."""
+"""Stand-ins for what is outside: disks, script workers, discovery, clients. For tests, demo, rehearsals."""
--- a/beaconhinge/standin/discovery.py
+++ b/beaconhinge/standin/discovery.py
@@ -135,7 +135,7 @@
         return self._encode({"version": self.version, "full": False, "servers": changed}, bool(changed))
 
     def _encode(self, content: dict[str, object], changes: bool) -> bytes | Paced:
-        """The answer's bytes, spoilt if that is the order of the moment and `changes` are told in it."""
+        """The answer's bytes, spoilt where spoilt answers are ordered and it holds `changes`."""
         spoil = self.spoil
         if spoil is None or not changes and spoil not in (Spoil.SLOW_BODY, Spoil.ID_AND_STATE):
             return http1.response(200, json.dumps(content).encode())
--- a/beaconhinge/standin/fleet/workers.py
+++ b/beaconhinge/standin/fleet/workers.py
@@ -31,7 +31,7 @@
     """One attempt at one worker. `owner` is who sent it.
 
     Attributes:
-        expected_work: As nobody is told the true one.
+        expected_work: As nobody knows the true one.
         open: Whether its sender waits for the outcome.
     """
 
--- a/beaconhinge/standin/harness.py
+++ b/beaconhinge/standin/harness.py
@@ -146,15 +146,15 @@
 class DemoFleet:
     """A dispatcher as a process, and the stand-ins around it."""
 
-    def __init__(self, boxes: int, rate: float, seed: int, folder: Path) -> None:
+    def __init__(self, worker_count: int, rate: float, seed: int, folder: Path) -> None:
         self.port = free_port()
         self.folder = folder
-        names = [f"s-{seed:04x}{number:04x}" for number in range(boxes)]
-        self.boxes = [FakeWorker(name, self.port, MEAN_RUN_S, seed=seed) for name in names]
-        entries = [worker.entry("ab"[i % 2], "plain", i % 3) for i, worker in enumerate(self.boxes)]
+        names = [f"s-{seed:04x}{number:04x}" for number in range(worker_count)]
+        self.workers = [FakeWorker(name, self.port, MEAN_RUN_S, seed=seed) for name in names]
+        entries = [worker.entry("ab"[i % 2], "plain", i % 3) for i, worker in enumerate(self.workers)]
         self.discovery = Discovery(entries)
         self.clients = Clients(self.port, KINDS, TENANTS, rate, seed)
-        self.counters: dict[str, int] = {}  # of the dispatcher, as last told
+        self.counters: dict[str, int] = {}  # of the dispatcher, as last logged
         self.lines: list[Mapping[str, Any]] = []  # its log
         self.process: asyncio.subprocess.Process
 
@@ -181,7 +181,7 @@
 
     async def start(self) -> None:
         """Start the stand-ins and the dispatcher; raise SceneError if it is not up in time."""
-        for server in (self.discovery.server, *(worker.server for worker in self.boxes)):
+        for server in (self.discovery.server, *(worker.server for worker in self.workers)):
             server.start()
         self.process = await start({"BEACONHINGE_CONFIG": str(self.write_configuration())})
         self.discovery.server.spawn(self._read_log())
@@ -201,9 +201,9 @@
     async def stop(self) -> int:
         """End the dispatcher in order, and all the rest; return its exit status."""
         status = await end(self.process)
-        for server in (self.discovery.server, *(worker.server for worker in self.boxes)):
+        for server in (self.discovery.server, *(worker.server for worker in self.workers)):
             await server.stop()
-        for worker in self.boxes:
+        for worker in self.workers:
             worker.close()
         return status
 
@@ -221,16 +221,16 @@
             answers.total() - sum(known.values()),
             1000 * waits[len(waits) // 2],
             1000 * waits[int(0.99 * len(waits))],
-            sum(worker.runs.total() for worker in self.boxes),
+            sum(worker.runs.total() for worker in self.workers),
             exit_status,
         )
 
 
 @contextlib.asynccontextmanager
-async def running_demo_fleet(boxes: int, rate: float, seed: int) -> AsyncIterator[DemoFleet]:
+async def running_demo_fleet(worker_count: int, rate: float, seed: int) -> AsyncIterator[DemoFleet]:
     """Run a fleet that is up, in a folder that is deleted afterwards."""
     with tempfile.TemporaryDirectory(prefix="beaconhinge-") as folder:
-        made = DemoFleet(boxes, rate, seed, Path(folder))
+        made = DemoFleet(worker_count, rate, seed, Path(folder))
         try:
             await made.start()
             yield made
--- a/beaconhinge/standin/rig/judge.py
+++ b/beaconhinge/standin/rig/judge.py
@@ -77,7 +77,7 @@
         keys=len(answered),
         keys_unanswered=sum(not done for done in answered.values()),
         runs=runs.total(),
-        benched=dict(ejections),
+        ejected=dict(ejections),
         faults=dict(record.fault_hits),
         counters=dict(sorted(counters.items())),
         served_before=service.before_faults,
@@ -260,7 +260,7 @@
             reachable_at = ended
     spans = [*outages, *down, *run.record.spoilt_spans.get(number, [])]
     kept_away = any(start <= changed_at + CHANGE_WRITTEN_S < ended for start, ended in spans)
-    # What it heard before it ended is lost.
+    # What it learned before it ended is lost.
     kept_away |= any(changed_at < ended for _, ended in down)
     return reachable_at + SILENT_WATCH_NOTICED_S if kept_away else changed_at
 
--- a/beaconhinge/standin/rig/verdict.py
+++ b/beaconhinge/standin/rig/verdict.py
@@ -53,7 +53,7 @@
         keys: Jobs with a key.
         keys_unanswered: Those that no attempt brought a result of.
         runs: Runs of jobs, on all workers.
-        benched: Healthy workers that a dispatcher ejected: how often, by name.
+        ejected: Healthy workers that a dispatcher ejected: how often, by name.
         faults: What faults hit, by kind.
         counters: Of all dispatchers, over all their incarnations.
         served_before: Share of the jobs served that were first sent before the first fault.
@@ -76,7 +76,7 @@
     keys: int
     keys_unanswered: int
     runs: int
-    benched: dict[str, int]
+    ejected: dict[str, int] = msgspec.field(name="benched")
     faults: dict[str, int]
     counters: dict[str, int]
     served_before: float
--- a/tests/leases/test_process.py
+++ b/tests/leases/test_process.py
@@ -61,7 +61,7 @@
         )
         assert self.resource.stdout is not None
         self.to = json.loads(await self.resource.stdout.readline())["port"]
-        for server in (self.discovery.server, *(box.server for box in self.boxes)):
+        for server in (self.discovery.server, *(worker.server for worker in self.workers)):
             server.start()
         self.discovery.server.spawn(self.read(self.resource.stdout))
 
@@ -105,10 +105,10 @@
         finally:
             led.resource.kill()
             await led.resource.wait()
-            for server in (led.discovery.server, *(box.server for box in led.boxes)):
+            for server in (led.discovery.server, *(worker.server for worker in led.workers)):
                 await server.stop()
-            for box in led.boxes:
-                box.close()
+            for worker in led.workers:
+                worker.close()
         return led
 
     return asyncio.run(whole())
--- a/tests/management/test_upgrade.py
+++ b/tests/management/test_upgrade.py
@@ -272,7 +272,7 @@
 
     async def load() -> None:
         harness = DemoFleet(6, 60.0, 5, tmp_path)
-        for server in (harness.discovery.server, *(box.server for box in harness.boxes)):
+        for server in (harness.discovery.server, *(worker.server for worker in harness.workers)):
             server.start()
         processes: list[subprocess.Popen[bytes]] = []
         operators: list[Operator] = []
@@ -293,7 +293,7 @@
         await start()
         asking = asyncio.create_task(harness.clients.run(4.0))
         await asyncio.sleep(0.5)
-        assert (await operators[0].call(f"disable-server {harness.boxes[0].name}")).startswith("SUCCESS")
+        assert (await operators[0].call(f"disable-server {harness.workers[0].name}")).startswith("SUCCESS")
         for old in (0, 1):
             await start()
             processes[old].send_signal(signal.SIGTERM)
@@ -309,13 +309,13 @@
             assert process.stderr is not None
             logs.append(process.stderr.read().decode())
             process.stderr.close()
-        for server in (harness.discovery.server, *(box.server for box in harness.boxes)):
+        for server in (harness.discovery.server, *(worker.server for worker in harness.workers)):
             await server.stop()
 
         assert [process.returncode for process in processes] == [0, 0, 0]
         assert harness.clients.answers["200"] == harness.clients.asked > 100
-        assert max(max(box.runs.values(), default=0) for box in harness.boxes) == 1
-        assert sum(box.runs.total() for box in harness.boxes) == harness.clients.asked
+        assert max(max(worker.runs.values(), default=0) for worker in harness.workers) == 1
+        assert sum(worker.runs.total() for worker in harness.workers) == harness.clients.asked
         served = re.findall(r" success_\w+=(\d+)", "".join(logs))
         assert sum(map(int, served)) == harness.clients.asked
         assert shown["hosts_down"] == 1  # out by hand, over two upgrades
--- a/tests/recovery/test_phases.py
+++ b/tests/recovery/test_phases.py
@@ -191,12 +191,12 @@
         harness = Kept(tmp_path)
         try:
             await harness.start()
-            name = harness.boxes[1].name
+            name = harness.workers[1].name
             assert await harness.call(f"disable-server {name}") == f"SUCCESS {name} is out\n"
             await harness.again()
             down = [await harness.down()]
             await harness.clients.run(1.0)
-            ran = [box.runs.total() for box in harness.boxes]
+            ran = [worker.runs.total() for worker in harness.workers]
             assert ran[1] == 0
             assert ran[0] > 0
             assert ran[2] > 0
