--- a/tests/net/test_discovery_connection.py
+++ b/tests/net/test_discovery_connection.py
@@ -57,6 +57,7 @@
     async def accept(self) -> None:
         self.listener.setblocking(False)
         self.sock, _ = await asyncio.get_running_loop().sock_accept(self.listener)
+        self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)  # a second piece waits for no ACK
 
     async def first_call(self) -> None:
         """Have a call answered, so that the connection is kept."""
