--- a/beaconhinge/cli/leases.py
+++ b/beaconhinge/cli/leases.py
@@ -25,10 +25,8 @@
 ANSWER = 2.0  # seconds that a dispatcher has to answer a call
 AGAIN = 0.25  # seconds between calls that keep a lease
 NEXT = 0.75  # seconds after which another slot of a counted lease is tried
-TERM_BEFORE, KILL_BEFORE = (
-    0.5,
-    0.1,
-)  # seconds before the lease ends at which the command is asked to end, and made to
+TERM_BEFORE = 0.5  # seconds before the lease ends at which the command is asked to end
+KILL_BEFORE = 0.1  # and made to
 
 
 class CallFailed(Error):
--- a/beaconhinge/net/discovery_connection.py
+++ b/beaconhinge/net/discovery_connection.py
@@ -74,16 +74,12 @@
 
     def give_up(self) -> None:
         """Wait no longer for an answer that is due. It is read when it comes; the next call connects anew."""
-        connection, self._connection = self._connection, None
-        if connection is None:
+        if self._connection is None or not self._answer_due:
+            self.close()
             return
-        if self._answer_due:
-            self._reader = AnswerReader(self._timers, self._on_leaving)  # the other goes with its connection
-            self._late_answers.read(connection)
-        else:
-            connection.read_arrived()
-            connection.close()
-        self._answer_due = False
+        self._late_answers.read(self._connection)
+        self._connection, self._answer_due = None, False
+        self._reader = AnswerReader(self._timers, self._on_leaving)  # the other goes with its connection
 
     async def rest(self, pause_s: float) -> None:
         """Wait until the next call is due, and read what comes meanwhile."""
