Take back: a doubtful list is read again without the pause of a read that confirms

A whole list that makes the list doubtful is followed by its second read 2 s later at the earliest, not at once, so nothing waited for the 0.25 s; and a read 0.05 s after a watch's answer is the very thing that had a job sent to a worker that had left.

--- a/beaconhinge/membership/discovery_watch.py
+++ b/beaconhinge/membership/discovery_watch.py
@@ -364,13 +364,10 @@
         )
 
     def _pause_after_answer(self, now: float) -> float:
-        """Return the time to the next call, which may have to come after the end of the watch.
-
-        What is doubtful has been written already, and is read without that delay.
-        """
-        only_confirms = not self.verification.doubtful and not self.pushed
-        read_due = self.verification.seconds_until_read(now + CALL_SPACING_S) <= 0
-        if only_confirms and read_due and self._last_call.wait_s > 0:
+        """Return the time to the next call, which may have to come after the end of the watch."""
+        next_call_s = now + CALL_SPACING_S
+        read_due = self.verification.seconds_until_read(next_call_s) <= 0
+        if read_due and self._last_call.wait_s > 0 and not self.pushed:
             return PAUSE_BEFORE_CONFIRMING_READ_S
         return CALL_SPACING_S
 
