Rig: whether a request has reached a worker is asked in one place, not two

Found on reading the change again: the runner and the judge each looked through all workers for it. Behaviour as it was; the tests of deadlines, leaving clients and shutdowns pass.

--- a/beaconhinge/standin/rig/judge.py
+++ b/beaconhinge/standin/rig/judge.py
@@ -204,11 +204,7 @@
     """Whether a crowd may have had its connection shut unread; what came to a worker had been read."""
     spans = run.record.crowded_spans.get(attempt.dispatcher, [])
     met = any(begun <= attempt.ended_at and attempt.sent_at <= ended for begun, ended in spans)
-    return met and not any(
-        deadline.request == attempt.request_id
-        for worker in run.topology.workers
-        for deadline in worker.deadlines
-    )
+    return met and not run.topology.has_reached_worker(attempt.request_id)
 
 
 def _broken_by_sends(run: FinishedRun) -> list[str]:
--- a/beaconhinge/standin/rig/runner.py
+++ b/beaconhinge/standin/rig/runner.py
@@ -46,17 +46,10 @@
             scenario,
             self.topology.ports,
             self.fault_injector.late_s,
-            self._has_reached_worker,
+            self.topology.has_reached_worker,
             self._takes_new_connections,
         )
 
-    def _has_reached_worker(self, request_id: str) -> bool:
-        return any(
-            deadline.request == request_id
-            for worker in self.topology.workers
-            for deadline in worker.deadlines
-        )
-
     def _takes_new_connections(self, dispatcher: int) -> bool:
         """Whether the front sends new connections to a dispatcher."""
         process = self.topology.processes[dispatcher]
--- a/beaconhinge/standin/rig/topology.py
+++ b/beaconhinge/standin/rig/topology.py
@@ -163,6 +163,10 @@
             self.scenario.seed * 1000 + number,
         )
 
+    def has_reached_worker(self, request_id: str) -> bool:
+        """Whether a worker has had the request of that id."""
+        return any(deadline.request == request_id for worker in self.workers for deadline in worker.deadlines)
+
     def servers(self) -> list[Server]:
         """All servers of the stand-ins: those of discovery first."""
         return [
