--- a/beaconhinge/standin/rig/faults.py
+++ b/beaconhinge/standin/rig/faults.py
@@ -20,8 +20,8 @@
 # Seconds after a return, when jobs of the killed process are counted that workers still run.
 ORPHANS_COUNTED_AFTER_S = 2.0
 LINK_FAULT_POLL_S = 0.02
-# Seconds from a call to discovery that does not wait to the change that meets it. With the pause before such a
-# call this is within 0.2 s of a watch's answer, when changes count as notified.
+# Seconds from a call to discovery that does not wait to the change that meets it. With the pause before such
+# a call this is within 0.2 s of a watch's answer, when changes count as notified.
 CHANGE_AFTER_READ_S = 0.05
 # A job as a worker holds it: the port of its dispatcher, and the request.
 JobKey = tuple[int, str]
