Read the worker list beside the watch, not in its place: a job went to a draining worker

Cause: what changes within 0.2 s of a watch's answer counts as notified, and the call after such an answer was a read of the list where one was due. A crowded discovery answers that 0.25 to 0.75 s later, or refuses it. Watches were cut short for reads, and a sound watch was cancelled for any call that does not wait: one activity took the place of another that has to go on.

Why this holds: the watch is followed by the next one in the turn that took its answer, whatever else is wanted. Reads (to confirm, to complete, after a pause) go over a connection of their own, one at a time, and no outcome of theirs touches the watch. That no answer overtakes another is no longer given by one call at a time: ListState merges both, by the newest version known as the call was made and the newest known now; every order of two answers is tested. Reads ask for whole lists, since discovery ends an open watch when another call with an index comes; so that changes are no longer read again in larger groups.

Moments without a watch are counted by reason and length. The rig's discovery keeps one watch for each dispatcher.

Tests changed with reason: those of the decisions drive watch and reads apart, where one chain had both; the budget of whole lists holds reads back, where it had changes read in their place; the golden requests to discovery are those of the two connections.

--- /dev/null
+++ b/beaconhinge/membership/list_reads.py
@@ -0,0 +1,132 @@
+"""Reads of the endpoint list beside the watch: what confirms it, completes it, or catches up after a pause.
+
+No I/O: time and jitter are arguments. Times are seconds.
+
+Reads are answered at once or in turn, as discovery has time; the watch is open meanwhile, and no read, late,
+failed or wrong, touches it. They ask for the snapshot: discovery keeps one watch for each dispatcher, and
+ends it (503) when another call with an index comes. While the watch itself fails, its own calls read what was
+missed, and nothing is read here.
+"""
+
+from __future__ import annotations
+
+import math
+
+from .call_retries import CallFailure, CallRetries
+from .discovery_call import AnswerDecision, CallPurpose, DiscoveryCall, PassedOver
+from .inventory import WorkerList
+from .list_state import ListState
+
+
+class ListReads:
+    """Decides on one dispatcher's reads beside its watch, one after the other.
+
+    Attributes:
+        state: What is known of the list, which the watch changes too.
+    """
+
+    def __init__(self, state: ListState, group_size: int, max_age_s: float) -> None:
+        """Start with nothing to read.
+
+        Args:
+            state: What is known of the list.
+            group_size: How many dispatchers ask the same discovery.
+            max_age_s: How long a list without a further call counts as known; 0 for no bound.
+        """
+        self.state = state
+        self._retries = CallRetries(state.pushed, group_size, max_age_s)
+        self._catch_up_wanted = False
+        self._not_before_s = -math.inf  # after the last read
+
+    @property
+    def failing(self) -> bool:
+        """Whether the last read has failed."""
+        return self._retries.failing
+
+    def restart(self) -> None:
+        """Forget what was to be read, as another discovery is called or another list is known."""
+        self._catch_up_wanted = False
+        self._not_before_s = -math.inf
+        self._retries.reset()
+
+    def can_catch_up(self, now: float) -> bool:
+        """Return whether the snapshot may be read for what was missed: that of a large fleet is expensive."""
+        return self.state.verification.snapshot_affordable(now, self.state.entry_count)
+
+    def catch_up(self) -> None:
+        """Have what was missed read at once."""
+        self._catch_up_wanted = True
+        self._not_before_s = -math.inf
+
+    def seconds_until_call(self, now: float) -> float:
+        """Return the seconds until something has to be read: 0 for now, infinity for never."""
+        state = self.state
+        due_s = now + state.verification.seconds_until_read(now, state.entry_count)
+        if state.announced_version is None:
+            return math.inf  # the watch's first call asks for the snapshot
+        if state.snapshot_needed:
+            due_s = min(due_s, state.snapshot_not_before_s)
+        if self._catch_up_wanted:
+            due_s = now
+        return max(due_s, self._not_before_s, now) - now
+
+    def next_call(self) -> DiscoveryCall:
+        """Return the read that is due now."""
+        state = self.state
+        if state.snapshot_needed or state.verification.doubtful:
+            purpose = CallPurpose.SNAPSHOT
+        else:
+            purpose = CallPurpose.CATCH_UP if self._catch_up_wanted else CallPurpose.CONFIRM
+        return DiscoveryCall(
+            None,
+            0.0,
+            self._retries.first_byte_timeout_s(0.0, purpose),
+            self._retries.body_timeout_s,
+            purpose,
+            state.announced_version,
+        )
+
+    def handle_answer(
+        self,
+        call: DiscoveryCall,
+        worker_list: WorkerList,
+        elapsed_s: float,
+        now: float,
+        jitter: float,
+        changes_workers: bool,
+    ) -> AnswerDecision:
+        """Decide on the answer to a read; the arguments are those of `ListState.handle_answer`."""
+        self._retries.handle_answer()
+        decision = self.state.handle_answer(call, worker_list, elapsed_s, now, jitter, changes_workers)
+        if decision.passed_over is PassedOver.CHANGES_FOR_SNAPSHOT:
+            decision = self._handle_wrong_answer(call, decision, now)
+        else:
+            self._retries.reset_wrong_answers()
+        if decision.proves_current:
+            self._catch_up_wanted = False
+        self._not_before_s = now + decision.pause_s
+        return decision
+
+    def _handle_wrong_answer(
+        self, call: DiscoveryCall, decision: AnswerDecision, now: float
+    ) -> AnswerDecision:
+        """Changes came in answer to a call for the snapshot: what only confirms can wait."""
+        if call.purpose is CallPurpose.CONFIRM and not self.state.pushed:
+            self.state.verification.handle_overload(now)
+            return decision
+        return self._retries.delay_wrong_answer(decision)
+
+    def handle_failure(self, call: DiscoveryCall, failure: CallFailure, now: float, jitter: float) -> None:
+        """Decide on the retry of a read that has failed.
+
+        Args:
+            call: The read.
+            failure: How it failed.
+            now: The current time.
+            jitter: Drawn from 0 to 1.
+        """
+        if not self.state.pushed:
+            self.state.verification.handle_overload(now)
+            if call.purpose is CallPurpose.CONFIRM:
+                return
+        self._not_before_s = now + self._retries.handle_failure(call, failure, jitter)
--- a/beaconhinge/net/discovery.py
+++ b/beaconhinge/net/discovery.py
@@ -1,62 +1,55 @@
-"""The client of discovery: polls and watches the endpoint list, and applies and confirms what comes.
+"""The client of discovery: watches the endpoint list, reads it beside the watch, and applies what comes.
 
-`membership/discovery_watch.py` decides on the calls and on their answers, `discovery_connection.py` makes the
-calls, `list_applier.py` applies lists, `list_availability.py` tells whether the list may be acted on, and
-`list_log.py` reports what happened.
+`membership/discovery_watch.py` and `membership/list_reads.py` decide on the calls, `membership/list_state.py`
+on their answers. `discovery_channel.py` makes the calls, `list_updates.py` has lists applied,
+`list_availability.py` tells whether the list may be acted on.
 """
 
 from __future__ import annotations
 
 import asyncio
-import json
+import math
 import random
-from collections.abc import Callable, Mapping
-from dataclasses import dataclass
-from typing import Any
+from collections.abc import Callable
 
 from ..config import Address, Config
 from ..dispatch.policy_runner import PolicyRunner
-from ..membership.discovery_watch import DiscoveryCall, DiscoveryWatch
-from ..membership.inventory import WorkerList, WorkerListError, WorkerListParser
-from ..membership.partial_list import LeavingEntries
+from ..membership.call_retries import CallFailure
+from ..membership.discovery_call import DiscoveryCall
+from ..membership.discovery_watch import DiscoveryWatch
+from ..membership.inventory import WorkerList, WorkerListParser
+from ..membership.list_reads import ListReads
+from ..membership.list_state import ListState
 from ..policy import interface
 from ..policy.interface import UpdateKind
 from ..runtime.metrics import Metrics
 from ..runtime.timer_wheel import TimerWheel
-from .discovery_connection import DiscoveryConnection
-from .http1 import BadMessage, Closed
+from .discovery_channel import DiscoveryChannel
 from .late_answers import LateAnswers
 from .list_applier import ListApplier
 from .list_availability import ListAvailability
-from .list_log import ListLog
+from .list_updates import AnswerDecider, ListUpdates
+from .watch_gaps import WatchEnd, WatchGaps
 from .worker_pool import WorkerPool
 
 # The window of the first calls of a group that starts at once, for each member, and its maximum. None of them
 # serves before it has its list.
 START_SPREAD_PER_DISPATCHER_S = 0.01
 START_SPREAD_MAX_S = 3.0
-# By these discovery says that it has too many callers.
-OVERLOAD_STATUSES = (429, 503)
 # The time between signs that this process runs.
 RUN_CHECK_S = 0.15
 
 
-@dataclass(frozen=True, slots=True)
-class DiscoveryAnswer:
-    """An answer as parsed, and the JSON that it was parsed from."""
-
-    worker_list: WorkerList
-    content: Mapping[str, Any]
-
-
 class Discovery:
     """Keeps the endpoint list of this process up to date.
 
     Attributes:
-        watch: Decides on calls and answers.
+        state: Which version of the list is known.
+        watch: Decides on the watches, and on the calls that lead back to them.
+        reads: Decides on the reads beside the watch.
+        updates: Has lists applied.
         availability: Whether the list may be acted on.
         address: Where discovery is called.
-        on_list_applied: Called with the kind of each list that was applied.
     """
 
     def __init__(
@@ -70,38 +63,44 @@
     ) -> None:
         self.config = config
         self.policy_runner = policy_runner
-        self.workers = workers
         self.timers = timers
         self.metrics = metrics
         settings = config.settings
         pushed = not settings.membership_on_request
+        group_size, max_age_s = settings.group_size, settings.membership_max_age_s
         self._random = random.Random(config.seed)  # of its own: the policy's draws stay as they are
-        self.watch = DiscoveryWatch(
-            pushed,
-            settings.group_size,
-            settings.membership_max_age_s,
-            _complete_version(config.bootstrap_list),
-            timers.now(),
-            self._random.random(),
-        )
+        self._bootstrap_list = config.bootstrap_list or WorkerList()
+        version = _complete_version(config.bootstrap_list)
+        self.state = ListState(pushed, group_size, version, timers.now(), self._random.random())
+        self.watch = DiscoveryWatch(self.state, group_size, max_age_s)
+        self.reads = ListReads(self.state, group_size, max_age_s)
         self.list_parser = WorkerListParser(
             config.zones, config.kinds, lambda why: metrics.count_and_log("list_entry_malformed", why=why)
         )
         self.address = config.discovery
-        self.on_list_applied: Callable[[str], None] = lambda _kind: None
         self.availability = ListAvailability(pushed, timers, metrics, self._handle_process_pause)
         self._applier = ListApplier(policy_runner, workers, timers, metrics, wall_clock)
-        self._bootstrap_list = config.bootstrap_list or WorkerList()
-        self._poll_task: asyncio.Task[None] | None = None
+        self.updates = ListUpdates(
+            self.state,
+            self.list_parser,
+            self._applier,
+            self.availability,
+            policy_runner,
+            workers,
+            timers,
+            metrics,
+            self._random,
+        )
         self._late_answers = LateAnswers(timers, metrics)
-        self._connection = self._new_connection()
-        self._leaving_applied = False  # workers were taken out of service since the last call was made
-        self._call_ended = asyncio.Event()  # a call has been answered, or has failed
-        self._log = ListLog(metrics)
+        self._watch_gaps = WatchGaps(timers, metrics)
+        self._watch_channel = self._new_channel(self.watch)
+        self._read_channel = self._new_channel(self.reads)
+        self._watch_task: asyncio.Task[None] | None = None
+        self._read_task: asyncio.Task[None] | None = None
+        self._read_wanted = asyncio.Event()  # set when what has to be read, and when, may have changed
+        self._call_ended = asyncio.Event()  # a call that does not wait has been answered, or has failed
         policy_runner.action_handlers[interface.SubscribeMembership] = self._subscribe
-        policy_runner.action_handlers[interface.FetchMembership] = lambda _action: self._restart_polling(
-            "snapshot_wanted", snapshot=True
-        )
+        policy_runner.action_handlers[interface.FetchMembership] = lambda _action: self._fetch_snapshot()
         policy_runner.on_event_failed = self._handle_event_failure
         workers.list_usable = lambda: self.list_usable
         workers.wait_until_list_usable = self.availability.wait_until_usable
@@ -115,7 +114,9 @@
     @property
     def version(self) -> int | None:
         """The version of the applied list; None if none is known."""
-        return self.watch.version
+        return self.state.version
+
+    # ---- start, another discovery, another list ----------------------------------------------------------
 
     def start_from_bootstrap(self) -> None:
         """Apply the configured or inherited list, however old, and call discovery.
@@ -123,10 +124,10 @@
         Nothing is sent by that list before discovery has been called, which is done here: the policy asks
         later where many dispatchers start.
         """
-        self._apply(UpdateKind.BOOTSTRAP, self._bootstrap_list)
+        self.updates.apply(UpdateKind.BOOTSTRAP, self._bootstrap_list)
         spread_s = min(START_SPREAD_PER_DISPATCHER_S * self.config.settings.group_size, START_SPREAD_MAX_S)
-        pause_s = 0.0 if self.watch.pushed else spread_s * self._random.random()
-        self._restart_polling("start", pause_s=pause_s)
+        pause_s = 0.0 if self.state.pushed else spread_s * self._random.random()
+        self._restart("start", pause_s)
 
     def take_over_list(self, worker_list: WorkerList, same_discovery: bool) -> None:
         """Take the list of the process that this one replaces as the bootstrap list.
@@ -139,7 +140,9 @@
         if same_discovery and self.version is not None and self.version > worker_list.version:
             return
         version = _complete_version(worker_list) if same_discovery else None
-        self.watch.restart(version, self.timers.now(), self._random.random())
+        self.state.restart(version, self.timers.now(), self._random.random())
+        self.watch.restart()
+        self.reads.restart()
         self._bootstrap_list = worker_list
 
     def switch_to(self, address: Address) -> None:
@@ -150,20 +153,36 @@
         """
         if address == self.address:
             return
-        polling = self._poll_task is not None
-        self._stop_polling("other_discovery")  # what the old one has written counts by its own versions
+        polling = self._watch_task is not None
+        self._stop("other_discovery")  # what the old one has written counts by its own versions
         self._late_answers.close()
         self.address = address
         pause_s = self.watch.switch_discovery(self.timers.now(), self._random.random())
+        self.reads.restart()
         if polling:  # the policy would ask again only when the old watch had failed
-            self._restart_polling("other_discovery", pause_s=pause_s)
+            self._restart("other_discovery", pause_s)
+
+    # ---- what others want ----------------------------------------------------------------------------------
 
     async def refresh(self) -> None:
         """Fetch what has changed at once; returns when that has been applied, or has failed."""
         self._call_ended.clear()
-        self._restart_polling("refresh")
+        self._catch_up("refresh")
         await self._call_ended.wait()
 
+    def _subscribe(self, action: interface.SubscribeMembership) -> None:
+        if self._watch_task is not None and not action.enabled:
+            self._stop("unsubscribed")
+        elif action.enabled and (self._watch_task is None or self._watch_task.done()):
+            self._restart("subscribed")
+
+    def _fetch_snapshot(self) -> None:
+        self.state.request_snapshot(self.timers.now())
+        if self.watch.watching:
+            self._read_wanted.set()
+        else:
+            self._restart("snapshot_wanted")
+
     def _check(self) -> None:
         self.timers.after(RUN_CHECK_S, self._check)
         self._applier.observe_clocks()
@@ -172,146 +191,123 @@
     def _handle_process_pause(self) -> None:
         """Call discovery at once, whatever call is out: what was announced meanwhile is not known."""
         self.metrics.count("lists_refreshed_after_stall")
-        if self._poll_task is not None:
-            self._restart_polling("process_paused")
+        if self._watch_task is not None:
+            self._catch_up("process_paused")
 
-    def _subscribe(self, action: interface.SubscribeMembership) -> None:
-        if self._poll_task is not None and not action.enabled:
-            self._stop_polling("unsubscribed")
-        elif action.enabled and (self._poll_task is None or self._poll_task.done()):
-            self._restart_polling("subscribed")
-
-    def _stop_polling(self, why: str) -> None:
-        """Cancel the call that is out, if there is one."""
-        if self._poll_task is not None:
-            self._log.report_cancelled_call(why, self.version, self._connection.progress)
-            self._connection.give_up()
-            self._poll_task.cancel()
-            self._poll_task = None
-
-    def _restart_polling(self, why: str, snapshot: bool = False, pause_s: float = 0.0) -> None:
-        """Call now, and continue from there. One call at a time: no answer overtakes another."""
-        self._stop_polling(why)
-        self.watch.resync(snapshot)
-        self._connection = self._new_connection()
-        self._poll_task = self.metrics.spawn(self._poll(self._connection, pause_s), "watch")
-
-    async def _poll(self, connection: DiscoveryConnection, pause_s: float) -> None:
-        """One call after the other: first for what was missed, which is answered at once, then watches."""
+    def _handle_event_failure(self, event: interface.Event) -> None:
+        """The policy failed on an event: if that was a list, it may hold another one than is known here."""
+        if isinstance(event, interface.MembershipUpdate):
+            self.state.verification.handle_doubt(self.timers.now())
+            self._read_wanted.set()
+
+    def _catch_up(self, why: str) -> None:
+        """Read what was missed at once. A watch that is open stays so: it may still tell what comes next."""
+        watch_is_open = self.watch.watching and self._watch_task is not None
+        if watch_is_open and self.reads.can_catch_up(self.timers.now()):
+            self.reads.catch_up()
+            self._restart_reads(why)
+        else:
+            self._restart(why)
+
+    # ---- calls ---------------------------------------------------------------------------------------------
+
+    def _stop(self, why: str) -> None:
+        """Cancel the calls that are out, if there are any."""
+        if self._watch_task is not None:
+            self._watch_channel.give_up(why, self.version)
+            self._watch_task.cancel()
+            self._watch_task = None
+            self._watch_gaps.begin(WatchEnd.CANCELLED)
+        self._stop_reads(why)
+
+    def _stop_reads(self, why: str) -> None:
+        if self._read_task is not None:
+            self._read_channel.give_up(why, self.version)
+            self._read_task.cancel()
+            self._read_task = None
+
+    def _restart(self, why: str, pause_s: float = 0.0) -> None:
+        """Begin with a call that does not wait, and continue with watches and with reads beside them."""
+        self._stop(why)
+        self.watch.catch_up()
+        self._start_watch(pause_s)
+        self._restart_reads(why)
+
+    def _start_watch(self, pause_s: float = 0.0) -> None:
+        self._watch_channel = self._new_channel(self.watch)
+        self._watch_task = self.metrics.spawn(self._watch(self._watch_channel, pause_s), "watch")
+
+    def _reopen_watch(self, why: str) -> None:
+        """Open the watch anew, from the version that is known now."""
+        if self._watch_task is not None:
+            self._watch_channel.give_up(why, self.version)
+            self._watch_task.cancel()
+            self._watch_gaps.begin(WatchEnd.CANCELLED)
+            self._start_watch()
+
+    def _restart_reads(self, why: str) -> None:
+        """Give up the read that is out, if there is one, and read what has to be read now."""
+        self._stop_reads(why)
+        self._read_channel = self._new_channel(self.reads)
+        self._read_task = self.metrics.spawn(self._read(self._read_channel), "list reads")
+
+    async def _watch(self, channel: DiscoveryChannel, pause_s: float) -> None:
+        """One watch after the other. The next one is called as soon as the last one is answered."""
         try:
             while True:
-                await connection.rest(pause_s)
-                self._leaving_applied = False
-                self.watch.entry_count = len(self.workers.workers)
-                started_s = self.timers.now()
-                call = self.watch.next_call(started_s)
-                try:
-                    answer = self._parse(await connection.fetch(self.address, call))
-                except (OSError, Closed, BadMessage, WorkerListError) as error:
-                    pause_s = self._handle_failure(connection, call, error, started_s)
+                await channel.rest(pause_s)
+                call = self.watch.next_call()
+                if call.is_watch:
+                    self._watch_gaps.finish()
+                outcome = await channel.call(self.address, call)
+                if isinstance(outcome, CallFailure):
+                    now, jitter = self.timers.now(), self._random.random()
+                    pause_s = self.watch.handle_failure(call, outcome, now, jitter)
+                    self._watch_gaps.begin(_watch_end(outcome))
                 else:
-                    elapsed_s = self.timers.now() - started_s
-                    pause_s = self._handle_answer(connection, call, answer, elapsed_s)
-                self._call_ended.set()
-                self.availability.update()
+                    pause_s = outcome.pause_s
+                    self._watch_gaps.begin(WatchEnd.ANSWERED)
+                self._finish_call(call)
         finally:
-            connection.close()
+            channel.close()
 
-    def _parse(self, body: bytes) -> DiscoveryAnswer:
+    async def _read(self, channel: DiscoveryChannel) -> None:
+        """One read after the other, while the watch is open or about to be."""
         try:
-            content = json.loads(body)
-            worker_list = self.list_parser.parse(content)
-        except (ValueError, RecursionError) as error:
-            raise WorkerListError(str(error)) from None
-        worker_list.size_bytes = len(body)
-        return DiscoveryAnswer(worker_list, content)
-
-    def _handle_answer(
-        self, connection: DiscoveryConnection, call: DiscoveryCall, answer: DiscoveryAnswer, elapsed_s: float
-    ) -> float:
-        """Verify and apply an answer; returns the time to the next call."""
-        now, previous_version, worker_list = self.timers.now(), self.version, answer.worker_list
-        if self.watch.failing:
-            self.metrics.log("discovery_back", list_age=self.availability.list_age_s)
-        self._applier.fill_in_unparsed(worker_list)
-        changes_workers = self._leaving_applied or self.workers.would_change(worker_list)
-        decision = self.watch.handle_answer(
-            worker_list, elapsed_s, now, self._random.random(), changes_workers
-        )
-        if decision.proves_current:
-            self.availability.handle_answer(now - elapsed_s, now)
-        else:  # shows as little as a call that fails
-            self.availability.freshness.handle_failure(now - elapsed_s, now, refused=False, was_watch=False)
-        if not decision.keep_connection:
-            connection.close()
-        self._log.report_decision(call, worker_list, decision, previous_version, self.version)
-        if decision.update_kind:
-            if changes_workers or worker_list.version != previous_version:
-                self._log.report_change(
-                    call,
-                    worker_list,
-                    decision.update_kind,
-                    previous_version,
-                    elapsed_s,
-                    connection.progress,
-                )
-            self.policy_runner.monitor.list_received(answer.content, now)
-            self._apply(decision.update_kind, worker_list)
-        else:
-            self._log.trace_unchanged(worker_list, self.workers.endpoints())
-        return decision.pause_s
-
-    def _handle_failure(
-        self, connection: DiscoveryConnection, call: DiscoveryCall, error: Exception, started_s: float
-    ) -> float:
-        """Report a failed call, and use what came of its answer; returns the time to the next call."""
-        refused = isinstance(error, (ConnectionRefusedError, ConnectionResetError, BrokenPipeError, Closed))
-        was_watch = call.wait_s > 0
-        self.availability.freshness.handle_failure(started_s, self.timers.now(), refused, was_watch)
-        answer_begun, progress = connection.answer_begun, connection.progress
-        if isinstance(error, TimeoutError):
-            connection.give_up()
-        else:
-            connection.close()
-        silent = isinstance(error, TimeoutError) and not answer_begun
-        event = "watch_silent" if silent and was_watch else "discovery_failed"
-        elapsed_s, list_age_s = self.timers.now() - started_s, self.availability.list_age_s
-        self._log.report_failed_call(event, call, error, elapsed_s, progress, list_age_s)
-        refused_by_discovery = isinstance(error, BadMessage) and error.status in OVERLOAD_STATUSES
-        return self.watch.handle_failure(
-            silent, self.timers.now(), self._random.random(), answer_begun, refused_by_discovery
-        )
-
-    def _new_connection(self) -> DiscoveryConnection:
-        return DiscoveryConnection(self.timers, self.metrics, self._apply_leaving, self._late_answers)
+            while True:
+                await self._wait_until_read_due(channel)
+                call = self.reads.next_call()
+                outcome = await channel.call(self.address, call)
+                if isinstance(outcome, CallFailure):
+                    self.reads.handle_failure(call, outcome, self.timers.now(), self._random.random())
+                elif outcome.renumbered:
+                    self._reopen_watch("renumbered")
+                self._finish_call(call)
+        finally:
+            channel.close()
+
+    async def _wait_until_read_due(self, channel: DiscoveryChannel) -> None:
+        while True:
+            self._read_wanted.clear()
+            due = self.reads.seconds_until_call(self.timers.now()) if self.watch.watching else math.inf
+            if due <= 0.0:
+                return
+            await channel.rest(due, self._read_wanted)
+
+    def _finish_call(self, call: DiscoveryCall) -> None:
+        if not call.is_watch:
+            self._call_ended.set()
+        self._read_wanted.set()
+        self.availability.update()
 
-    def _apply_leaving(self, leaving: LeavingEntries) -> None:
-        """Take workers out of service by entries of an answer that may not have ended, or never will.
+    def _new_channel(self, decider: AnswerDecider) -> DiscoveryChannel:
+        return DiscoveryChannel(decider, self.updates, self.timers, self.metrics, self._late_answers)
 
-        The change counts as notified once it is written. Waiting for the answer's end, or for the call to be
-        given up, had jobs sent to leaving workers for a second and longer. Its version does not count yet.
-        """
-        if leaving.version < (self.version or 0):
-            self.metrics.count("list_departures_older")
-            return
-        now, worker_list = self.timers.now(), leaving.to_worker_list()
-        self.policy_runner.monitor.list_received({"full": False, "servers": leaving.entries}, now)
-        self._applier.fill_in_unparsed(worker_list)
-        if self.workers.would_change(worker_list):
-            self._leaving_applied = True
-            self._log.report_departures(
-                worker_list, self.version, not self._connection.answer_whole, self._connection.progress
-            )
-            self._apply(UpdateKind.CHANGES, worker_list)
-
-    def _apply(self, kind: UpdateKind, worker_list: WorkerList) -> None:
-        self._applier.apply(kind, worker_list)
-        self.on_list_applied(kind)
 
-    def _handle_event_failure(self, event: interface.Event) -> None:
-        """The policy failed on an event: if that was a list, it may hold another one than is known here."""
-        if isinstance(event, interface.MembershipUpdate):
-            self.watch.handle_apply_failure(self.timers.now())
+def _watch_end(failure: CallFailure) -> WatchEnd:
+    if failure.refused_by_discovery:
+        return WatchEnd.REFUSED
+    return WatchEnd.SILENT if failure.silent else WatchEnd.FAILED
 
 
 def _complete_version(worker_list: WorkerList | None) -> int | None:
--- a/beaconhinge/net/discovery_connection.py
+++ b/beaconhinge/net/discovery_connection.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Callable
+from typing import Literal
 
 from ..config import Address
-from ..membership.discovery_watch import BODY_IDLE_TIMEOUT_S, CONTENT_END_TIMEOUT_S, DiscoveryCall
+from ..membership.call_retries import BODY_IDLE_TIMEOUT_S, CONTENT_END_TIMEOUT_S
+from ..membership.discovery_call import DiscoveryCall
 from ..membership.partial_list import LeavingEntries
 from ..runtime.metrics import Metrics
 from ..runtime.timer_wheel import TimerWheel
@@ -60,6 +63,11 @@
         """Whether an answer has begun and is incomplete."""
         return self._connection is not None and self._connection.partial
 
+    @property
+    def answer_due(self) -> bool:
+        """Whether a call has been made and is not answered."""
+        return self._answer_due
+
     @property
     def answer_whole(self) -> bool:
         """Whether an answer has come to its end and is about to be taken."""
@@ -81,15 +89,32 @@
         self._connection, self._answer_due = None, False
         self._reader = AnswerReader(self._timers, self._on_leaving)  # the other goes with its connection
 
-    async def rest(self, pause_s: float) -> None:
-        """Wait until the next call is due, and read what comes meanwhile."""
+    async def rest(self, pause_s: float, wake: asyncio.Event | None = None) -> None:
+        """Wait until the next call is due, and read what comes meanwhile.
+
+        Args:
+            pause_s: Seconds until the next call is due; may be infinite if there is an event.
+            wake: Ends the wait when it is set.
+        """
         end_s = self._timers.now() + pause_s
-        while self._connection is not None and (left_s := end_s - self._timers.now()) > 0:
-            reading = self._connection.reading()
-            done, _ = await asyncio.wait((reading,), timeout=left_s)
-            if done and not reading.result():
-                self.close()
-        await asyncio.sleep(max(0.0, end_s - self._timers.now()))
+        woken = None if wake is None else asyncio.ensure_future(wake.wait())
+        try:
+            while (left_s := end_s - self._timers.now()) > 0 and not (wake and wake.is_set()):
+                await self._rest_once(None if math.isinf(left_s) else left_s, woken)
+        finally:
+            if woken is not None:
+                woken.cancel()
+
+    async def _rest_once(self, timeout_s: float | None, woken: asyncio.Task[Literal[True]] | None) -> None:
+        """Wait for the timeout, bytes or the event, and close a connection that has ended."""
+        reading = None if self._connection is None else self._connection.reading()
+        waits = {wait for wait in (reading, woken) if wait is not None}
+        if not waits:
+            await asyncio.sleep(timeout_s or 0.0)
+            return
+        done, _ = await asyncio.wait(waits, timeout=timeout_s, return_when=asyncio.FIRST_COMPLETED)
+        if reading in done and not reading.result():
+            self.close()
 
     async def fetch(self, address: Address, call: DiscoveryCall) -> bytes:
         """Make one call and return the body of its answer.
--- a/beaconhinge/net/late_answers.py
+++ b/beaconhinge/net/late_answers.py
@@ -10,8 +10,9 @@
 
 # How long an answer may still come. By then a change counts as notified whether or not it arrived.
 LATE_ANSWER_MAX_S = 6.0
-# How many connections are read on for it; the oldest is closed for another one.
-MAX_LATE_ANSWERS = 2
+# How many connections are read on for it, of the watch and of the reads beside it; the oldest is closed for
+# another one.
+MAX_LATE_ANSWERS = 4
 
 
 class LateAnswers:
--- a/beaconhinge/net/list_log.py
+++ b/beaconhinge/net/list_log.py
@@ -5,7 +5,7 @@
 from collections import deque
 from collections.abc import Sequence
 
-from ..membership.discovery_watch import DiscoveryCall, WatchDecision
+from ..membership.discovery_call import AnswerDecision, DiscoveryCall, PassedOver
 from ..membership.inventory import WorkerEndpoint, WorkerList
 from ..policy.interface import UpdateKind, WorkerState
 from ..runtime.metrics import Metrics
@@ -26,7 +26,7 @@
         self,
         call: DiscoveryCall,
         worker_list: WorkerList,
-        decision: WatchDecision,
+        decision: AnswerDecision,
         previous_version: int | None,
         applied_version: int | None,
     ) -> None:
@@ -46,7 +46,9 @@
             self._metrics.count_and_log(
                 "list_unexpected", version=version, known=applied_version, why=why, index=call.index
             )
-        if call.wait_s == 0 and kind and version == previous_version:
+        elif decision.passed_over is PassedOver.OVERTAKEN:
+            self._metrics.count("lists_overtaken")
+        if not call.is_watch and kind and version == previous_version:
             self._metrics.count("lists_verified")
         if decision.contradicts_earlier:
             self._metrics.count_and_log("list_contradicted", version=version, entries=entries)
@@ -70,6 +72,7 @@
             known=previous_version,
             index=call.index,
             wait=call.wait_s,
+            purpose=call.purpose.value,
             entries=len(worker_list.endpoints),
             unread=len(worker_list.unparsed_ids),
             after=elapsed_s,
@@ -101,6 +104,7 @@
             why=f"{type(error).__name__}: {error}",
             index=call.index,
             wait=call.wait_s,
+            purpose=call.purpose.value,
             after=elapsed_s,
             first_byte=progress.first_byte_s,
             last_byte=progress.last_byte_s,
@@ -143,11 +147,25 @@
                 received=progress.body_bytes,
             )
 
-    def trace_unchanged(self, worker_list: WorkerList, known: Sequence[WorkerEndpoint]) -> None:
+    def trace_call(self, call: DiscoveryCall) -> None:
+        """Trace a call as it is made, with the newest version that is known."""
+        self._metrics.trace(
+            "lists",
+            "discovery_call",
+            purpose=call.purpose.value,
+            index=call.index,
+            wait=call.wait_s,
+            newest=call.newest_version,
+        )
+
+    def trace_unchanged(
+        self, call: DiscoveryCall, worker_list: WorkerList, known: Sequence[WorkerEndpoint]
+    ) -> None:
         """Trace an answer that is not applied, with the known workers and the lists applied last."""
         self._metrics.trace(
             "lists",
             "list_unchanged",
+            purpose=call.purpose.value,
             version=worker_list.version,
             workers=len(known),
             ready=sum(endpoint.member.state == WorkerState.READY for endpoint in known),
--- a/beaconhinge/net/recovery.py
+++ b/beaconhinge/net/recovery.py
@@ -65,7 +65,8 @@
             lambda: coordinator.serving,
             keys.mark_journal_stale,
         )
-    recovery.on_resumed, discovery.on_list_applied = coordinator.process_resumed, coordinator.list_received
+    recovery.on_resumed = coordinator.process_resumed
+    discovery.updates.on_list_applied = coordinator.list_received
     operators.phase = lambda: coordinator.stage_name
     listed = listener.ready
     listener.ready = lambda: listed() and coordinator.serving
--- /dev/null
+++ b/tests/list_client.py
@@ -0,0 +1,78 @@
+"""The decisions on calls to discovery in simulated time: a watch, and the reads beside it."""
+
+from __future__ import annotations
+
+from beaconhinge.membership.call_retries import CallFailure
+from beaconhinge.membership.discovery_call import AnswerDecision, DiscoveryCall
+from beaconhinge.membership.discovery_watch import DiscoveryWatch
+from beaconhinge.membership.inventory import WorkerList, WorkerListParser
+from beaconhinge.membership.list_reads import ListReads
+from beaconhinge.membership.list_state import ListState
+
+
+def worker_list(version: int, *entries: object, full: bool = False) -> WorkerList:
+    """An answer of discovery."""
+    return WorkerListParser(["a"], ["k"]).parse({"version": version, "full": full, "servers": list(entries)})
+
+
+class ListClient:
+    """One dispatcher's calls. Time stands still but where a test moves it on."""
+
+    def __init__(
+        self, version: int | None, pushed: bool, size: int, max_age_s: float, jitter: float = 0.5
+    ) -> None:
+        self.now = 0.0
+        self.jitter = jitter
+        self.state = ListState(pushed, size, version, self.now, jitter)
+        self.state.entry_count = 100
+        self.watch = DiscoveryWatch(self.state, size, max_age_s)
+        self.reads = ListReads(self.state, size, max_age_s)
+        self._watch_call: DiscoveryCall | None = None
+
+    def call(self) -> DiscoveryCall:
+        """The watch's next call."""
+        self._watch_call = self.watch.next_call()
+        return self._watch_call
+
+    def read_due_in_s(self) -> float:
+        """The seconds until something is to be read beside the watch."""
+        return self.reads.seconds_until_call(self.now)
+
+    def read(self) -> DiscoveryCall | None:
+        """The read that is due now beside the watch; None if none is."""
+        due = self.watch.watching and self.read_due_in_s() <= 0
+        return self.reads.next_call() if due else None
+
+    def due_read(self) -> DiscoveryCall:
+        """The same, where there has to be one."""
+        read = self.read()
+        assert read is not None
+        return read
+
+    def take(
+        self, call: DiscoveryCall, answer: WorkerList, elapsed_s: float, differs: bool = True
+    ) -> AnswerDecision:
+        """Decide on an answer; `differs` if applying it would change the known workers."""
+        chain = self.watch if call is self._watch_call else self.reads
+        return chain.handle_answer(call, answer, elapsed_s, self.now, self.jitter, differs)
+
+    def fail(self, silent: bool, jitter: float, refused: bool = False, begun: bool = False) -> float:
+        """Have the watch's last call fail; the time to the next one."""
+        assert self._watch_call is not None
+        failure = CallFailure(silent, begun, refused)
+        return self.watch.handle_failure(self._watch_call, failure, self.now, jitter)
+
+    def fail_read(self, call: DiscoveryCall, silent: bool = True, refused: bool = False) -> None:
+        """Have a read fail."""
+        self.reads.handle_failure(call, CallFailure(silent, False, refused), self.now, self.jitter)
+
+
+def watching(
+    version: int = 5, pushed: bool = False, size: int = 200, max_age_s: float = 10.0, jitter: float = 0.5
+) -> ListClient:
+    """One that has caught up, and is about to watch."""
+    client = ListClient(version, pushed, size, max_age_s, jitter)
+    call = client.call()
+    assert call.wait_s == 0
+    client.take(call, worker_list(version), 0.01, differs=False)
+    return client
--- /dev/null
+++ b/tests/membership/test_list_state.py
@@ -0,0 +1,168 @@
+"""A watch and a read that are out at the same time: every order of their answers."""
+
+from __future__ import annotations
+
+import itertools
+import random
+
+import pytest
+from list_client import ListClient, watching, worker_list
+
+from beaconhinge.membership.discovery_call import CALL_SPACING_S, DiscoveryCall, PassedOver
+from beaconhinge.membership.inventory import WorkerList
+from beaconhinge.policy.interface import UpdateKind, WorkerState
+
+READY, DRAINING = "Ready", "Terminating"
+# Discovery's list by its version: the workers and their states. One drains and comes back, one leaves, one comes.
+HISTORY: dict[int, dict[str, str]] = {
+    5: {"s-1": READY, "s-2": READY},
+    6: {"s-1": DRAINING, "s-2": READY},
+    7: {"s-1": DRAINING, "s-3": READY},
+    8: {"s-1": READY, "s-3": READY},
+}
+NEWEST = max(HISTORY)
+
+
+def entry(name: str, state: str) -> dict[str, object]:
+    return {"id": name, "addr": "127.0.0.1:9", "state": state}
+
+
+def answer(call: DiscoveryCall, version: int) -> WorkerList:
+    """What discovery answers while its list has a version: for a watch what differs, for a read the whole list."""
+    now = HISTORY[version]
+    if call.index is None:
+        return worker_list(version, *(entry(*item) for item in now.items()), full=True)
+    before = HISTORY[call.index]
+    changed = [entry(name, state) for name, state in now.items() if before.get(name) != state]
+    gone = [entry(name, "Gone") for name in before if name not in now]
+    return worker_list(version, *changed, *gone)
+
+
+class Dispatcher(ListClient):
+    """A client with the list that it applies."""
+
+    def __init__(self) -> None:
+        super().__init__(5, pushed=False, size=6, max_age_s=10.0)
+        self.applied = dict(HISTORY[5])
+        call = self.call()
+        self.take(call, answer(call, 5), 0.01, differs=False)
+
+    def receive(self, call: DiscoveryCall, version: int, elapsed_s: float) -> None:
+        """Take an answer, and apply it as it is decided."""
+        found = answer(call, version)
+        states = {
+            endpoint.id: READY if endpoint.member.state is WorkerState.READY else DRAINING
+            for endpoint in found.endpoints
+            if endpoint.member.state is not WorkerState.GONE
+        }
+        gone = {e.id for e in found.endpoints if e.member.state is WorkerState.GONE}
+        if found.is_snapshot:
+            wanted = states
+        else:
+            wanted = {name: s for name, s in {**self.applied, **states}.items() if name not in gone}
+        decision = self.take(call, found, elapsed_s, differs=wanted != self.applied)
+        if decision.update_kind is not None:
+            self.applied = wanted
+
+    def catch_up(self, version: int) -> None:
+        """Make the reads that are due, while discovery's list has a version."""
+        self.now += CALL_SPACING_S
+        while self.state.snapshot_needed:
+            self.receive(self.due_read(), version, 0.1)
+            self.now += CALL_SPACING_S
+
+
+@pytest.mark.parametrize("read_first", [False, True])
+@pytest.mark.parametrize(("watched", "read"), list(itertools.product(HISTORY, HISTORY)))
+def test_the_newest_of_two_answers_counts_in_either_order(watched: int, read: int, read_first: bool) -> None:
+    client = Dispatcher()
+    client.state.request_snapshot(client.now)
+    watch_call, read_call = client.call(), client.due_read()
+    if read_first:
+        client.receive(read_call, read, 0.65)
+        client.receive(watch_call, watched, watch_call.wait_s)
+    else:
+        client.receive(watch_call, watched, watch_call.wait_s)
+        client.receive(read_call, read, 0.65)
+    newest = max(watched, read)
+    assert client.call().index == newest
+    client.catch_up(newest)
+    assert client.state.version == newest
+    assert client.applied == HISTORY[newest]
+
+
+def test_changes_since_another_version_than_the_one_at_hand_have_the_list_read_at_once() -> None:
+    """A worker that drained, came back and drained again is in none of the changes since before."""
+    client = Dispatcher()
+    client.state.request_snapshot(client.now)
+    watch, read = client.call(), client.due_read()
+    client.receive(read, 7, 0.65)
+    client.receive(watch, 8, watch.wait_s)
+    assert client.applied != HISTORY[8]
+    client.now += CALL_SPACING_S
+    client.receive(client.due_read(), 8, 0.65)
+    assert client.applied == HISTORY[8]
+
+
+def test_read_that_was_overtaken_confirms_nothing_and_is_made_again() -> None:
+    client = watching(size=6)
+    client.state.request_snapshot(client.now)
+    watch, read = client.call(), client.due_read()
+    client.take(watch, worker_list(6, entry("s-1", DRAINING)), 1.0)
+    decision = client.take(read, worker_list(5, entry("s-1", READY), full=True), 0.65)
+    assert decision.update_kind is None
+    assert decision.keep_connection
+    assert decision.passed_over is PassedOver.OVERTAKEN
+    assert client.state.verification.confirmed_version != 6
+    client.now += CALL_SPACING_S
+    assert client.due_read().index is None
+
+
+def test_watch_goes_on_from_a_version_whose_content_is_missing_until_the_list_is_read() -> None:
+    """Asked for by the applied version it would be answered at once, for as long as the read takes."""
+    client = watching(size=6)
+    client.take(client.call(), worker_list(6), 1.0)
+    watch = client.call()
+    assert (watch.index, client.state.version) == (6, 5)
+    decision = client.take(watch, worker_list(7, entry("s-1", DRAINING)), 1.0)
+    assert decision.update_kind is UpdateKind.CHANGES
+    assert not decision.proves_current
+    assert (client.call().index, client.state.version) == (7, 5)
+    client.now += CALL_SPACING_S
+    decision = client.take(client.due_read(), worker_list(7, entry("s-1", DRAINING), full=True), 0.65)
+    assert decision.proves_current
+    assert (client.call().index, client.state.version) == (7, 7)
+
+
+@pytest.mark.parametrize("seed", range(200))
+def test_list_is_discoverys_after_any_interleaving_of_watches_and_reads(seed: int) -> None:
+    """Answers hold the list as it was at some moment between call and answer, and come in any order."""
+    rng, client, current = random.Random(seed), Dispatcher(), 5
+    out: dict[str, tuple[DiscoveryCall, int]] = {}
+    highest = 5
+    for _ in range(60):
+        client.now += 0.1
+        current = min(NEWEST, current + (rng.random() < 0.1))
+        if "watch" not in out:
+            out["watch"] = client.call(), current
+        if "read" not in out and rng.random() < 0.4:
+            client.state.request_snapshot(client.now)
+            client.reads.catch_up()
+            out["read"] = client.due_read(), current
+        chain = rng.choice(list(out))
+        call, at_call = out[chain]
+        version = rng.randint(at_call, current)
+        if call.is_watch and version == call.index:
+            continue  # it waits
+        del out[chain]
+        client.receive(call, version, rng.uniform(0.05, 0.65))
+        known = client.state.version
+        assert known is not None
+        assert known >= highest
+        highest = known
+        if client.state.complete:
+            assert client.applied == HISTORY[known]
+    client.catch_up(highest := client.state.announced_version or 0)
+    assert client.state.complete
+    assert client.applied == HISTORY[highest]
+    assert highest >= 6
--- a/tests/net/test_discovery_connection.py
+++ b/tests/net/test_discovery_connection.py
@@ -11,7 +11,7 @@
 import pytest
 import uvloop
 
-from beaconhinge.membership.discovery_watch import DiscoveryCall
+from beaconhinge.membership.discovery_call import DiscoveryCall
 from beaconhinge.membership.partial_list import LeavingEntries
 from beaconhinge.net.discovery_connection import MAX_LIST_BYTES, DiscoveryConnection
 from beaconhinge.net.http1 import BadMessage, Closed
