Soak: discovery too crowded for whole lists, and workers that drain as the list is read

The faults of the incident are drawn in every soak, from draws of their own, so that the other faults of a seed stay as they were: calls for the whole list are answered late, late by an old list, refused, reset or not at all, while watches are answered at once; a worker drains at each dispatcher just after it has read its list.

--- a/beaconhinge/standin/discovery.py
+++ b/beaconhinge/standin/discovery.py
@@ -18,12 +18,12 @@
 # From the changed entries, which are written at once, to the last of the entries that follow.
 TRICKLE_S = 2.4
 INDENT = 2
-# From a call that does not wait to its answer, while discovery is crowded.
+# From a call for the whole list to its answer, while discovery is crowded.
 SLOW_READ_S = 0.65
 
 
 class ReadFault(enum.Enum):
-    """How a crowded discovery treats calls that do not wait. Watches are answered at once."""
+    """How a crowded discovery treats calls for the whole list. Calls with an index are answered at once."""
 
     LATE = "late"  # answered SLOW_READ_S after they came, with the list as it is then
     STALE = "stale"  # the same, with the list as it was when they came
@@ -31,6 +31,11 @@
     REFUSED = "refused"  # answered 503 at once
     RESET = "reset"  # the connection ends
 
+    @property
+    def answers(self) -> bool:
+        """Whether the whole list comes in the end."""
+        return self in (ReadFault.LATE, ReadFault.STALE)
+
 
 class WatchEnd(enum.Enum):
     """How a watch ended."""
@@ -94,7 +99,7 @@
         self.spoilt_answers = 0
         self.read_fault: ReadFault | None = None
         self.faulty_reads = 0
-        self.read_came = asyncio.Event()  # set by each call that does not wait
+        self.read_came = asyncio.Event()  # set by each call for the whole list
         self._mute_event = asyncio.Event()
         self._replaced_event = asyncio.Event()
         self.calls = 0
@@ -159,11 +164,11 @@
         if since is not None:
             self._replaced_event.set()
             self._replaced_event = asyncio.Event()
-        if not wait_s:
+        if since is None:
             self.read_came.set()
             if self.read_fault is not None:
-                return await self._answer_faulty_read(self.read_fault, since)
-        elif since is not None and since >= self.version:
+                return await self._answer_faulty_read(self.read_fault)
+        elif wait_s and since >= self.version:
             end = await self._wait(wait_s)
             if end is WatchEnd.REPLACED:
                 return http1.response(503)
@@ -180,7 +185,7 @@
         changed = [self.servers[name] for name, version in self._changed.items() if version > since]
         return self._encode({"version": self.version, "full": False, "servers": changed}, bool(changed))
 
-    async def _answer_faulty_read(self, fault: ReadFault, since: int | None) -> bytes | Paced | None:
+    async def _answer_faulty_read(self, fault: ReadFault) -> bytes | Paced | None:
         self.faulty_reads += 1
         if fault is ReadFault.RESET:
             return None
@@ -188,9 +193,9 @@
             return http1.response(503)
         if fault is ReadFault.SILENT:
             await asyncio.Event().wait()
-        stale = self._answer_by_list(since)
+        stale = self._answer_by_list(None)
         await asyncio.sleep(SLOW_READ_S)
-        return stale if fault is ReadFault.STALE else self._answer_by_list(since)
+        return stale if fault is ReadFault.STALE else self._answer_by_list(None)
 
     def _encode(self, content: dict[str, object], changes: bool) -> bytes | Paced:
         """The answer's bytes, spoilt where spoilt answers are ordered and it holds `changes`."""
--- a/beaconhinge/standin/rig/record.py
+++ b/beaconhinge/standin/rig/record.py
@@ -54,6 +54,8 @@
     silent_since: dict[int, float] = field(default_factory=dict)
     discovery_outages: dict[int, list[TimeSpan]] = field(default_factory=dict)
     spoilt_spans: dict[int, list[TimeSpan]] = field(default_factory=dict)
+    # When discovery gave a dispatcher no whole list, though its watch went on.
+    unreadable_spans: dict[int, list[TimeSpan]] = field(default_factory=dict)
     # Planned ends of processes, in their order.
     shutdowns: list[Shutdown] = field(default_factory=list)
     # When idle clients held connections, by number of the dispatcher.
--- a/beaconhinge/standin/rig/scenario.py
+++ b/beaconhinge/standin/rig/scenario.py
@@ -62,8 +62,9 @@
     it is out. `mute`: the watches that are open fall silent for good. `drain`: the first workers drain, in
     one version of the list. `spoil`: answers of discovery are spoilt. `reload`: SIGHUP. `workers`: the last
     worker that has no fault yet treats its jobs as the worker fault says. `crowd`: idle clients hold as many
-    connections as they get. `reads`: calls to discovery that do not wait are treated as the read fault says.
-    `drain-at-read`: the last workers drain, at each dispatcher by itself, just after it has made such a call.
+    connections as they get. `reads`: calls to discovery for the whole list are treated as the read fault
+    says. `drain-at-read`: the last workers drain, at each dispatcher by itself, just after it has made such a
+    call.
 
     Attributes:
         at_s: Seconds from the scenario's beginning.
--- a/beaconhinge/standin/rig/soak.py
+++ b/beaconhinge/standin/rig/soak.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from ..discovery import Spoil
+from ..discovery import ReadFault, Spoil
 from ..workers import WorkerFault
 from .scenario import Fault, FaultKind, Scenario, SeriesSignal
 
@@ -75,6 +75,7 @@
         at = rng.uniform(FIRST_FAULT_AT_S, LAST_FAULT_AT_S)
         who = rng.sample(range(processes), max(1, processes // 3))
         faults.append(Fault(at, "crowd", rng.uniform(1.0, 4.0), who, connections=CROWD_CONNECTIONS))
+    faults += _draw_read_faults(seed, processes, pushed)
     longest_s = rng.choice(LONGEST_DEADLINES_S)
     recovery = rng.random() < RECOVERY_CHANCE  # without it nobody knows a key that another dispatcher has
     return Scenario(
@@ -106,6 +107,23 @@
     )
 
 
+def _draw_read_faults(seed: int, processes: int, pushed: bool) -> list[Fault]:
+    """Draw how a crowded discovery treats calls for the whole list, and a drain that meets such a call.
+
+    They have draws of their own: so the other faults of a seed stay as they were. An agent is never crowded.
+    """
+    rng = random.Random(f"{seed}/soak/reads")
+    faults = list[Fault]()
+    for _ in range(0 if pushed else rng.randint(1, 3)):
+        at = rng.uniform(FIRST_FAULT_AT_S, LAST_FAULT_AT_S)
+        who = rng.sample(range(processes), rng.randint(1, max(1, processes // 2)))
+        fault = rng.choice(list(ReadFault))
+        faults.append(Fault(at, "reads", rng.uniform(1.0, 6.0), who, read_fault=fault))
+    at = rng.uniform(FIRST_FAULT_AT_S, LAST_FAULT_AT_S)
+    faults.append(Fault(at, "drain-at-read", SCENARIO_S - LAST_FAULT_AT_S - 2.0))
+    return faults
+
+
 def _draw_fault(rng: random.Random, at: float, processes: int, draining: int) -> Fault:
     dispatchers = rng.sample(range(processes), rng.randint(1, max(1, processes // 2)))
     kind = rng.choice(FAULT_KINDS)
