--- a/beaconhinge/membership/discovery_call.py
+++ b/beaconhinge/membership/discovery_call.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 
 from ..policy.interface import UpdateKind
+from .inventory import WorkerList
 
 # The least time from the start of one call to the start of the next: bounds the rate of calls that are
 # answered at once. A watch that was open for longer is followed at once: what changes within 0.2 s counts as
@@ -59,6 +60,27 @@
         return self.index is None
 
 
+@dataclass(frozen=True, slots=True)
+class ReceivedAnswer:
+    """An answer of discovery, with what decisions on it need.
+
+    Attributes:
+        call: The call that it answers.
+        worker_list: What it holds.
+        elapsed_s: The time from the call to the answer.
+        now: The current time.
+        jitter: Drawn from 0 to 1.
+        changes_workers: Whether applying the list would change the known workers.
+    """
+
+    call: DiscoveryCall
+    worker_list: WorkerList
+    elapsed_s: float
+    now: float
+    jitter: float
+    changes_workers: bool
+
+
 class PassedOver(enum.Enum):
     """Why an answer, or the version that it numbers, is not taken. The values stand in log lines."""
 
--- a/beaconhinge/membership/discovery_watch.py
+++ b/beaconhinge/membership/discovery_watch.py
@@ -11,8 +11,7 @@
 from __future__ import annotations
 
 from .call_retries import CallFailure, CallRetries
-from .discovery_call import AnswerDecision, CallPurpose, DiscoveryCall, PassedOver
-from .inventory import WorkerList
+from .discovery_call import AnswerDecision, CallPurpose, DiscoveryCall, PassedOver, ReceivedAnswer
 from .list_state import ListState
 
 # How long a watch (a long poll) waits for a change, also as a fraction of the list's maximum age
@@ -90,18 +89,10 @@
             state.announced_version,
         )
 
-    def handle_answer(
-        self,
-        call: DiscoveryCall,
-        worker_list: WorkerList,
-        elapsed_s: float,
-        now: float,
-        jitter: float,
-        changes_workers: bool,
-    ) -> AnswerDecision:
-        """Decide on the answer to a call; the arguments are those of `ListState.handle_answer`."""
+    def handle_answer(self, answer: ReceivedAnswer) -> AnswerDecision:
+        """Decide on the answer to a call."""
         self._retries.handle_answer()
-        decision = self.state.handle_answer(call, worker_list, elapsed_s, now, jitter, changes_workers)
+        decision = self.state.handle_answer(answer)
         if decision.passed_over is PassedOver.CHANGES_FOR_SNAPSHOT:
             return self._retries.delay_wrong_answer(decision)
         self._retries.reset_wrong_answers()
--- a/beaconhinge/membership/list_reads.py
+++ b/beaconhinge/membership/list_reads.py
@@ -13,8 +13,7 @@
 import math
 
 from .call_retries import CallFailure, CallRetries
-from .discovery_call import AnswerDecision, CallPurpose, DiscoveryCall, PassedOver
-from .inventory import WorkerList
+from .discovery_call import AnswerDecision, CallPurpose, DiscoveryCall, PassedOver, ReceivedAnswer
 from .list_state import ListState
 
 
@@ -86,33 +85,23 @@
             state.announced_version,
         )
 
-    def handle_answer(
-        self,
-        call: DiscoveryCall,
-        worker_list: WorkerList,
-        elapsed_s: float,
-        now: float,
-        jitter: float,
-        changes_workers: bool,
-    ) -> AnswerDecision:
-        """Decide on the answer to a read; the arguments are those of `ListState.handle_answer`."""
+    def handle_answer(self, answer: ReceivedAnswer) -> AnswerDecision:
+        """Decide on the answer to a read."""
         self._retries.handle_answer()
-        decision = self.state.handle_answer(call, worker_list, elapsed_s, now, jitter, changes_workers)
+        decision = self.state.handle_answer(answer)
         if decision.passed_over is PassedOver.CHANGES_FOR_SNAPSHOT:
-            decision = self._handle_wrong_answer(call, decision, now)
+            decision = self._handle_wrong_answer(answer, decision)
         else:
             self._retries.reset_wrong_answers()
         if decision.proves_current:
             self._catch_up_wanted = False
-        self._not_before_s = now + decision.pause_s
+        self._not_before_s = answer.now + decision.pause_s
         return decision
 
-    def _handle_wrong_answer(
-        self, call: DiscoveryCall, decision: AnswerDecision, now: float
-    ) -> AnswerDecision:
+    def _handle_wrong_answer(self, answer: ReceivedAnswer, decision: AnswerDecision) -> AnswerDecision:
         """Changes came in answer to a call for the snapshot: what only confirms can wait."""
-        if call.purpose is CallPurpose.CONFIRM and not self.state.pushed:
-            self.state.verification.handle_overload(now)
+        if answer.call.purpose is CallPurpose.CONFIRM and not self.state.pushed:
+            self.state.verification.handle_overload(answer.now)
             return decision
         return self._retries.delay_wrong_answer(decision)
 
--- a/beaconhinge/membership/list_state.py
+++ b/beaconhinge/membership/list_state.py
@@ -16,7 +16,14 @@
 from dataclasses import replace
 
 from ..policy.interface import UpdateKind
-from .discovery_call import CALL_SPACING_S, AnswerDecision, CallPurpose, DiscoveryCall, PassedOver
+from .discovery_call import (
+    CALL_SPACING_S,
+    AnswerDecision,
+    CallPurpose,
+    DiscoveryCall,
+    PassedOver,
+    ReceivedAnswer,
+)
 from .inventory import WorkerList
 from .verification import SLOW_ANSWER_S, Verification
 
@@ -76,39 +83,14 @@
         """Whether a version is older than what is known."""
         return self.announced_version is not None and version < self.announced_version
 
-    def handle_answer(
-        self,
-        call: DiscoveryCall,
-        worker_list: WorkerList,
-        elapsed_s: float,
-        now: float,
-        jitter: float,
-        changes_workers: bool,
-    ) -> AnswerDecision:
-        """Decide on the answer to a call.
+    def handle_answer(self, answer: ReceivedAnswer) -> AnswerDecision:
+        """Decide on an answer."""
+        if answer.worker_list.is_snapshot:
+            self.verification.handle_snapshot(answer.now, answer.worker_list.size_bytes)
+        return replace(self._decide(answer), pause_s=max(0.0, CALL_SPACING_S - answer.elapsed_s))
 
-        Args:
-            call: The call.
-            worker_list: The answer.
-            elapsed_s: The time from the call to the answer.
-            now: The current time.
-            jitter: Drawn from 0 to 1.
-            changes_workers: Whether applying the list would change the known workers.
-        """
-        if worker_list.is_snapshot:
-            self.verification.handle_snapshot(now, worker_list.size_bytes)
-        decision = self._decide(call, worker_list, elapsed_s, now, jitter, changes_workers)
-        return replace(decision, pause_s=max(0.0, CALL_SPACING_S - elapsed_s))
-
-    def _decide(
-        self,
-        call: DiscoveryCall,
-        worker_list: WorkerList,
-        elapsed_s: float,
-        now: float,
-        jitter: float,
-        changes_workers: bool,
-    ) -> AnswerDecision:
+    def _decide(self, answer: ReceivedAnswer) -> AnswerDecision:
+        call, worker_list, now = answer.call, answer.worker_list, answer.now
         out_of_order = call.newest_version is not None and worker_list.version < call.newest_version
         renumbered = out_of_order and call.index is None and self._older_version_seen
         if out_of_order and not renumbered:
@@ -119,25 +101,24 @@
             return _unrelated_answer(PassedOver.OLDER)
         if call.index is None and not worker_list.is_snapshot:
             return _unrelated_answer(PassedOver.CHANGES_FOR_SNAPSHOT)
-        if call.is_watch and worker_list.version == call.index and _is_early(call, elapsed_s):
+        if _is_early(answer):
             # The answer to the last call is still to come on that connection.
             return _unrelated_answer(PassedOver.EARLY)
         self._older_version_seen = False
         if self.is_older(worker_list.version) and not renumbered:
-            return self._handle_overtaken(call, now, jitter)
+            return self._handle_overtaken(answer)
         if not worker_list.is_snapshot and self._has_other_base(call, worker_list.version):
             return self._handle_other_base(worker_list, now)
         if _lacks_content(call, worker_list):
             return self._handle_missing_content(call, worker_list, now)
-        decision = self._take(call, worker_list, elapsed_s, now, jitter, changes_workers)
-        return replace(decision, renumbered=renumbered)
+        return replace(self._take(answer), renumbered=renumbered)
 
-    def _handle_overtaken(self, call: DiscoveryCall, now: float, jitter: float) -> AnswerDecision:
+    def _handle_overtaken(self, answer: ReceivedAnswer) -> AnswerDecision:
         """Another call's answer was newer: what this one tells is known, and confirms nothing."""
         if self.snapshot_needed or self.verification.doubtful:
-            self.request_snapshot(now + CALL_SPACING_S)
-        elif call.is_second_read:
-            self.verification.handle_change(now, jitter)
+            self.request_snapshot(answer.now + CALL_SPACING_S)
+        elif answer.call.is_second_read:
+            self.verification.handle_change(answer.now, answer.jitter)
         return AnswerDecision(
             None, keep_connection=True, proves_current=self.complete, passed_over=PassedOver.OVERTAKEN
         )
@@ -172,37 +153,32 @@
             passed_over=PassedOver.CONTENT_MISSING,
         )
 
-    def _take(
-        self,
-        call: DiscoveryCall,
-        worker_list: WorkerList,
-        elapsed_s: float,
-        now: float,
-        jitter: float,
-        changes_workers: bool,
-    ) -> AnswerDecision:
+    def _take(self, answer: ReceivedAnswer) -> AnswerDecision:
         """Take the list with its version, and see what it says of the list that was applied before."""
-        verification, kind = self.verification, _update_kind(call, worker_list)
+        call, worker_list, verification = answer.call, answer.worker_list, self.verification
         snapshot_requested = self.snapshot_needed
         is_new_version = worker_list.version != self.version
         self._advance(worker_list)
         if call.is_second_read:
-            verification.handle_confirming_read(now)
+            verification.handle_confirming_read(answer.now)
         contradicts = (
-            call.is_second_read and changes_workers and not is_new_version and not snapshot_requested
+            call.is_second_read and answer.changes_workers and not is_new_version and not snapshot_requested
         )
-        agrees = not changes_workers or (worker_list.is_snapshot and not verification.small_group)
+        agrees = not answer.changes_workers or (worker_list.is_snapshot and not verification.small_group)
         if worker_list.unparsed_ids or contradicts:
-            verification.handle_doubt(now)
+            verification.handle_doubt(answer.now)
         elif call.is_second_read and agrees and self.complete:
-            verification.handle_confirmation(worker_list.version, now, jitter)
+            verification.handle_confirmation(worker_list.version, answer.now, answer.jitter)
         elif is_new_version or call.is_second_read:
             missed = call.purpose is CallPurpose.CATCH_UP
-            verification.handle_change(now, jitter, missed)
-        if not call.is_watch and elapsed_s > SLOW_ANSWER_S and not self.pushed:
-            verification.handle_overload(now)
+            verification.handle_change(answer.now, answer.jitter, missed)
+        if not call.is_watch and answer.elapsed_s > SLOW_ANSWER_S and not self.pushed:
+            verification.handle_overload(answer.now)
         return AnswerDecision(
-            kind, keep_connection=True, contradicts_earlier=contradicts, proves_current=self.complete
+            _update_kind(call, worker_list),
+            keep_connection=True,
+            contradicts_earlier=contradicts,
+            proves_current=self.complete,
         )
 
     def _advance(self, worker_list: WorkerList) -> None:
@@ -219,9 +195,11 @@
     return AnswerDecision(None, keep_connection=False, proves_current=False, passed_over=why)
 
 
-def _is_early(call: DiscoveryCall, elapsed_s: float) -> bool:
-    """Whether a watch's answer has come before its wait was over."""
-    return elapsed_s < EARLY_ANSWER_FRACTION * call.wait_s
+def _is_early(answer: ReceivedAnswer) -> bool:
+    """Whether a watch's answer without a change has come before its wait was over."""
+    call = answer.call
+    unchanged = call.is_watch and answer.worker_list.version == call.index
+    return unchanged and answer.elapsed_s < EARLY_ANSWER_FRACTION * call.wait_s
 
 
 def _lacks_content(call: DiscoveryCall, worker_list: WorkerList) -> bool:
--- a/beaconhinge/net/discovery.py
+++ b/beaconhinge/net/discovery.py
@@ -1,21 +1,17 @@
 """The client of discovery: watches the endpoint list, reads it beside the watch, and applies what comes.
 
 `membership/discovery_watch.py` and `membership/list_reads.py` decide on the calls, `membership/list_state.py`
-on their answers. `discovery_channel.py` makes the calls, `list_updates.py` has lists applied,
+on their answers. `discovery_calls.py` makes the calls, `list_updates.py` has lists applied,
 `list_availability.py` tells whether the list may be acted on.
 """
 
 from __future__ import annotations
 
-import asyncio
-import math
 import random
 from collections.abc import Callable
 
 from ..config import Address, Config
 from ..dispatch.policy_runner import PolicyRunner
-from ..membership.call_retries import CallFailure
-from ..membership.discovery_call import DiscoveryCall
 from ..membership.discovery_watch import DiscoveryWatch
 from ..membership.inventory import WorkerList, WorkerListParser
 from ..membership.list_reads import ListReads
@@ -24,12 +20,10 @@
 from ..policy.interface import UpdateKind
 from ..runtime.metrics import Metrics
 from ..runtime.timer_wheel import TimerWheel
-from .discovery_channel import DiscoveryChannel
-from .late_answers import LateAnswers
+from .discovery_calls import DiscoveryCalls
 from .list_applier import ListApplier
 from .list_availability import ListAvailability
-from .list_updates import AnswerDecider, ListUpdates
-from .watch_gaps import WatchEnd, WatchGaps
+from .list_updates import ListUpdates
 from .worker_pool import WorkerPool
 
 # The window of the first calls of a group that starts at once, for each member, and its maximum. None of them
@@ -49,7 +43,7 @@
         reads: Decides on the reads beside the watch.
         updates: Has lists applied.
         availability: Whether the list may be acted on.
-        address: Where discovery is called.
+        calls: Makes them.
     """
 
     def __init__(
@@ -77,7 +71,6 @@
         self.list_parser = WorkerListParser(
             config.zones, config.kinds, lambda why: metrics.count_and_log("list_entry_malformed", why=why)
         )
-        self.address = config.discovery
         self.availability = ListAvailability(pushed, timers, metrics, self._handle_process_pause)
         self._applier = ListApplier(policy_runner, workers, timers, metrics, wall_clock)
         self.updates = ListUpdates(
@@ -91,14 +84,9 @@
             metrics,
             self._random,
         )
-        self._late_answers = LateAnswers(timers, metrics)
-        self._watch_gaps = WatchGaps(timers, metrics)
-        self._watch_channel = self._new_channel(self.watch)
-        self._read_channel = self._new_channel(self.reads)
-        self._watch_task: asyncio.Task[None] | None = None
-        self._read_task: asyncio.Task[None] | None = None
-        self._read_wanted = asyncio.Event()  # set when what has to be read, and when, may have changed
-        self._call_ended = asyncio.Event()  # a call that does not wait has been answered, or has failed
+        self.calls = DiscoveryCalls(
+            config.discovery, self.watch, self.reads, self.updates, timers, metrics, self._random
+        )
         policy_runner.action_handlers[interface.SubscribeMembership] = self._subscribe
         policy_runner.action_handlers[interface.FetchMembership] = lambda _action: self._fetch_snapshot()
         policy_runner.on_event_failed = self._handle_event_failure
@@ -111,6 +99,11 @@
         """Whether the list may be acted on, as far as is known this moment."""
         return self.availability.usable
 
+    @property
+    def address(self) -> Address:
+        """Where discovery is called."""
+        return self.calls.address
+
     @property
     def version(self) -> int | None:
         """The version of the applied list; None if none is known."""
@@ -127,7 +120,7 @@
         self.updates.apply(UpdateKind.BOOTSTRAP, self._bootstrap_list)
         spread_s = min(START_SPREAD_PER_DISPATCHER_S * self.config.settings.group_size, START_SPREAD_MAX_S)
         pause_s = 0.0 if self.state.pushed else spread_s * self._random.random()
-        self._restart("start", pause_s)
+        self.calls.restart("start", pause_s)
 
     def take_over_list(self, worker_list: WorkerList, same_discovery: bool) -> None:
         """Take the list of the process that this one replaces as the bootstrap list.
@@ -153,35 +146,34 @@
         """
         if address == self.address:
             return
-        polling = self._watch_task is not None
-        self._stop("other_discovery")  # what the old one has written counts by its own versions
-        self._late_answers.close()
-        self.address = address
+        started = self.calls.started
+        self.calls.stop("other_discovery")  # what the old one has written counts by its own versions
+        self.calls.switch_to(address)
         pause_s = self.watch.switch_discovery(self.timers.now(), self._random.random())
         self.reads.restart()
-        if polling:  # the policy would ask again only when the old watch had failed
-            self._restart("other_discovery", pause_s)
+        if started:  # the policy would ask again only when the old watch had failed
+            self.calls.restart("other_discovery", pause_s)
 
     # ---- what others want ----------------------------------------------------------------------------------
 
     async def refresh(self) -> None:
         """Fetch what has changed at once; returns when that has been applied, or has failed."""
-        self._call_ended.clear()
+        self.calls.call_ended.clear()
         self._catch_up("refresh")
-        await self._call_ended.wait()
+        await self.calls.call_ended.wait()
 
     def _subscribe(self, action: interface.SubscribeMembership) -> None:
-        if self._watch_task is not None and not action.enabled:
-            self._stop("unsubscribed")
-        elif action.enabled and (self._watch_task is None or self._watch_task.done()):
-            self._restart("subscribed")
+        if self.calls.started and not action.enabled:
+            self.calls.stop("unsubscribed")
+        elif action.enabled and not self.calls.running:
+            self.calls.restart("subscribed")
 
     def _fetch_snapshot(self) -> None:
         self.state.request_snapshot(self.timers.now())
         if self.watch.watching:
-            self._read_wanted.set()
+            self.calls.read_wanted.set()
         else:
-            self._restart("snapshot_wanted")
+            self.calls.restart("snapshot_wanted")
 
     def _check(self) -> None:
         self.timers.after(RUN_CHECK_S, self._check)
@@ -191,123 +183,23 @@
     def _handle_process_pause(self) -> None:
         """Call discovery at once, whatever call is out: what was announced meanwhile is not known."""
         self.metrics.count("lists_refreshed_after_stall")
-        if self._watch_task is not None:
+        if self.calls.started:
             self._catch_up("process_paused")
 
     def _handle_event_failure(self, event: interface.Event) -> None:
         """The policy failed on an event: if that was a list, it may hold another one than is known here."""
         if isinstance(event, interface.MembershipUpdate):
             self.state.verification.handle_doubt(self.timers.now())
-            self._read_wanted.set()
+            self.calls.read_wanted.set()
 
     def _catch_up(self, why: str) -> None:
         """Read what was missed at once. A watch that is open stays so: it may still tell what comes next."""
-        watch_is_open = self.watch.watching and self._watch_task is not None
+        watch_is_open = self.watch.watching and self.calls.started
         if watch_is_open and self.reads.can_catch_up(self.timers.now()):
             self.reads.catch_up()
-            self._restart_reads(why)
+            self.calls.restart_reads(why)
         else:
-            self._restart(why)
-
-    # ---- calls ---------------------------------------------------------------------------------------------
-
-    def _stop(self, why: str) -> None:
-        """Cancel the calls that are out, if there are any."""
-        if self._watch_task is not None:
-            self._watch_channel.give_up(why, self.version)
-            self._watch_task.cancel()
-            self._watch_task = None
-            self._watch_gaps.begin(WatchEnd.CANCELLED)
-        self._stop_reads(why)
-
-    def _stop_reads(self, why: str) -> None:
-        if self._read_task is not None:
-            self._read_channel.give_up(why, self.version)
-            self._read_task.cancel()
-            self._read_task = None
-
-    def _restart(self, why: str, pause_s: float = 0.0) -> None:
-        """Begin with a call that does not wait, and continue with watches and with reads beside them."""
-        self._stop(why)
-        self.watch.catch_up()
-        self._start_watch(pause_s)
-        self._restart_reads(why)
-
-    def _start_watch(self, pause_s: float = 0.0) -> None:
-        self._watch_channel = self._new_channel(self.watch)
-        self._watch_task = self.metrics.spawn(self._watch(self._watch_channel, pause_s), "watch")
-
-    def _reopen_watch(self, why: str) -> None:
-        """Open the watch anew, from the version that is known now."""
-        if self._watch_task is not None:
-            self._watch_channel.give_up(why, self.version)
-            self._watch_task.cancel()
-            self._watch_gaps.begin(WatchEnd.CANCELLED)
-            self._start_watch()
-
-    def _restart_reads(self, why: str) -> None:
-        """Give up the read that is out, if there is one, and read what has to be read now."""
-        self._stop_reads(why)
-        self._read_channel = self._new_channel(self.reads)
-        self._read_task = self.metrics.spawn(self._read(self._read_channel), "list reads")
-
-    async def _watch(self, channel: DiscoveryChannel, pause_s: float) -> None:
-        """One watch after the other. The next one is called as soon as the last one is answered."""
-        try:
-            while True:
-                await channel.rest(pause_s)
-                call = self.watch.next_call()
-                if call.is_watch:
-                    self._watch_gaps.finish()
-                outcome = await channel.call(self.address, call)
-                if isinstance(outcome, CallFailure):
-                    now, jitter = self.timers.now(), self._random.random()
-                    pause_s = self.watch.handle_failure(call, outcome, now, jitter)
-                    self._watch_gaps.begin(_watch_end(outcome))
-                else:
-                    pause_s = outcome.pause_s
-                    self._watch_gaps.begin(WatchEnd.ANSWERED)
-                self._finish_call(call)
-        finally:
-            channel.close()
-
-    async def _read(self, channel: DiscoveryChannel) -> None:
-        """One read after the other, while the watch is open or about to be."""
-        try:
-            while True:
-                await self._wait_until_read_due(channel)
-                call = self.reads.next_call()
-                outcome = await channel.call(self.address, call)
-                if isinstance(outcome, CallFailure):
-                    self.reads.handle_failure(call, outcome, self.timers.now(), self._random.random())
-                elif outcome.renumbered:
-                    self._reopen_watch("renumbered")
-                self._finish_call(call)
-        finally:
-            channel.close()
-
-    async def _wait_until_read_due(self, channel: DiscoveryChannel) -> None:
-        while True:
-            self._read_wanted.clear()
-            due = self.reads.seconds_until_call(self.timers.now()) if self.watch.watching else math.inf
-            if due <= 0.0:
-                return
-            await channel.rest(due, self._read_wanted)
-
-    def _finish_call(self, call: DiscoveryCall) -> None:
-        if not call.is_watch:
-            self._call_ended.set()
-        self._read_wanted.set()
-        self.availability.update()
-
-    def _new_channel(self, decider: AnswerDecider) -> DiscoveryChannel:
-        return DiscoveryChannel(decider, self.updates, self.timers, self.metrics, self._late_answers)
-
-
-def _watch_end(failure: CallFailure) -> WatchEnd:
-    if failure.refused_by_discovery:
-        return WatchEnd.REFUSED
-    return WatchEnd.SILENT if failure.silent else WatchEnd.FAILED
+            self.calls.restart(why)
 
 
 def _complete_version(worker_list: WorkerList | None) -> int | None:
--- a/beaconhinge/net/list_updates.py
+++ b/beaconhinge/net/list_updates.py
@@ -13,7 +13,7 @@
 
 from ..dispatch.policy_runner import PolicyRunner
 from ..membership.call_retries import CallFailure
-from ..membership.discovery_call import AnswerDecision, DiscoveryCall
+from ..membership.discovery_call import AnswerDecision, DiscoveryCall, ReceivedAnswer
 from ..membership.inventory import WorkerList, WorkerListError, WorkerListParser
 from ..membership.list_state import ListState
 from ..membership.partial_list import LeavingEntries
@@ -38,15 +38,7 @@
     def failing(self) -> bool:
         """Whether the last call has failed."""
 
-    def handle_answer(
-        self,
-        call: DiscoveryCall,
-        worker_list: WorkerList,
-        elapsed_s: float,
-        now: float,
-        jitter: float,
-        changes_workers: bool,
-    ) -> AnswerDecision:
+    def handle_answer(self, answer: ReceivedAnswer) -> AnswerDecision:
         """Decide on the answer to a call."""
 
 
@@ -89,6 +81,15 @@
         self._metrics = metrics
         self._random = rng
 
+    @property
+    def version(self) -> int | None:
+        """The version of the applied list; None if none is known."""
+        return self._state.version
+
+    def update_availability(self) -> None:
+        """Release those who wait for a usable list, or have them wait from now on."""
+        self._availability.update()
+
     def parse(self, body: bytes) -> DiscoveryAnswer:
         """Parse the body of an answer.
 
@@ -129,7 +130,7 @@
         self._applier.fill_in_unparsed(worker_list)
         changes_workers = departures_applied or self._workers.would_change(worker_list)
         decision = decider.handle_answer(
-            call, worker_list, elapsed_s, now, self._random.random(), changes_workers
+            ReceivedAnswer(call, worker_list, elapsed_s, now, self._random.random(), changes_workers)
         )
         if decision.proves_current:
             self._availability.handle_answer(started_s, now)
--- a/tests/list_client.py
+++ b/tests/list_client.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from beaconhinge.membership.call_retries import CallFailure
-from beaconhinge.membership.discovery_call import AnswerDecision, DiscoveryCall
+from beaconhinge.membership.discovery_call import AnswerDecision, DiscoveryCall, ReceivedAnswer
 from beaconhinge.membership.discovery_watch import DiscoveryWatch
 from beaconhinge.membership.inventory import WorkerList, WorkerListParser
 from beaconhinge.membership.list_reads import ListReads
@@ -54,7 +54,7 @@
     ) -> AnswerDecision:
         """Decide on an answer; `differs` if applying it would change the known workers."""
         chain = self.watch if call is self._watch_call else self.reads
-        return chain.handle_answer(call, answer, elapsed_s, self.now, self.jitter, differs)
+        return chain.handle_answer(ReceivedAnswer(call, answer, elapsed_s, self.now, self.jitter, differs))
 
     def fail(self, silent: bool, jitter: float, refused: bool = False, begun: bool = False) -> float:
         """Have the watch's last call fail; the time to the next one."""
--- a/tests/net/test_reads_beside_watch.py
+++ b/tests/net/test_reads_beside_watch.py
@@ -101,7 +101,7 @@
         while not discovery.reads.empty():
             discovery.reads.get_nowait()
         discoveries[0].state.request_snapshot(0.0)
-        discoveries[0]._read_wanted.set()
+        discoveries[0].calls.read_wanted.set()
         assert "index" not in await discovery.reads.get()
         discovery.watch_answers.put_nowait(answer(1, harness.host(0, state="Terminating")))
         assert "index=1" in await discovery.watches.get()
@@ -171,7 +171,7 @@
         assert "index=7" in await discovery.watches.get()
         discovery.read = lambda: answer(2, harness.host(1), full=True)
         discoveries[0].state.request_snapshot(0.0)
-        discoveries[0]._read_wanted.set()
+        discoveries[0].calls.read_wanted.set()
         assert "index=2" in await discovery.watches.get()
         assert discoveries[0].version == 2
         await only_the_second_worker_serves(harness)
