--- a/tests/net/test_reads_beside_watch.py
+++ b/tests/net/test_reads_beside_watch.py
@@ -36,6 +36,11 @@
         self.open_watches = 0
         harness.discovery.script = self._script
 
+    def forget_reads(self) -> None:
+        """Take no more notice of the reads that have come."""
+        while not self.reads.empty():
+            self.reads.get_nowait()
+
     async def _script(self, message: ReceivedMessage) -> bytes | None:
         if wait_of(message):
             self.open_watches += 1
@@ -74,17 +79,13 @@
     assert harness.workers[0].seen.empty()
 
 
-READ_ANSWERS = {
-    "silent": None,
-    "refused": reply(503),
-    "reset": b"",
-    "not a list": reply(200, b"{"),
-    "old": "old",
-    "late and old": "old",
-}
+# How reads are answered: with the bytes, or by the end of their connection.
+READ_ANSWERS = {"refused": reply(503), "reset": None, "not a list": reply(200, b"{")}
+# The seconds that the answer takes.
+READ_DELAYS_S = {"late and old": LATE_S, "silent": 60.0}
 
 
-@pytest.mark.parametrize("way", READ_ANSWERS)
+@pytest.mark.parametrize("way", [*READ_ANSWERS, *READ_DELAYS_S, "old"])
 @pytest.mark.parametrize("pushed", [False, True])
 def test_worker_that_drains_while_the_list_is_read_gets_no_jobs(
     way: str, pushed: bool, discoveries: list[Discovery]
@@ -95,11 +96,9 @@
         old = answer(0, harness.host(0), harness.host(1), full=True)
         discovery = ScriptedDiscovery(harness, lambda: answer(0))
         await first_watch(harness, discovery)
-        read = READ_ANSWERS[way]
-        discovery.read = lambda: old if read == "old" else read or None  # type: ignore[return-value]
-        discovery.read_delay_s = {"silent": 60.0, "late and old": LATE_S}.get(way, 0.0)
-        while not discovery.reads.empty():
-            discovery.reads.get_nowait()
+        discovery.read = lambda: READ_ANSWERS.get(way, old)
+        discovery.read_delay_s = READ_DELAYS_S.get(way, 0.0)
+        discovery.forget_reads()
         discoveries[0].state.request_snapshot(0.0)
         discoveries[0].calls.read_wanted.set()
         assert "index" not in await discovery.reads.get()
@@ -125,8 +124,7 @@
         discovery = ScriptedDiscovery(harness, lambda: answer(0))
         await first_watch(harness, discovery)
         discovery.read = lambda: answer(0, harness.host(0), harness.host(1), full=True)
-        while not discovery.reads.empty():
-            discovery.reads.get_nowait()
+        discovery.forget_reads()
         client = discoveries[0]
         if why == "process paused":
             client._handle_process_pause()
@@ -150,8 +148,7 @@
     async def scenario(harness: Harness) -> None:
         discovery = ScriptedDiscovery(harness, lambda: answer(0))
         await first_watch(harness, discovery)
-        while not discovery.reads.empty():
-            discovery.reads.get_nowait()
+        discovery.forget_reads()
         client = discoveries[0]
         client.state.verification.handle_snapshot(client.timers.now(), 500_000)
         await client.refresh()
