Rig: each time that a watch fell silent is kept, not the latest alone

The dispatcher's watches had been silenced twice, 0.02 s before the worker began to drain and 3.9 s after. The record of the second had replaced the first, so that the change was taken for told at once; by the first it counts 6 s after the silence, and the last job came 2.3 s after the change. Jobs later than that are found as before.

--- a/beaconhinge/standin/rig/faults.py
+++ b/beaconhinge/standin/rig/faults.py
@@ -209,7 +209,8 @@
 
     async def _mute_watches(self, fault: Fault, numbers: list[int]) -> int:
         """Count the watches that fell silent."""
-        self.record.silent_since.update(dict.fromkeys(numbers, time.monotonic()))
+        for number in numbers:
+            self.record.silent_from.setdefault(number, []).append(time.monotonic())
         muted = sum(self.topology.discoveries[number].mute() for number in numbers)
         await asyncio.sleep(fault.duration_s)
         return muted
--- a/beaconhinge/standin/rig/judge.py
+++ b/beaconhinge/standin/rig/judge.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 from collections import Counter
 from collections.abc import Iterator
 from dataclasses import dataclass
@@ -244,9 +243,9 @@
     """
     outages = run.record.discovery_outages.get(number, [])
     down = run.topology.processes[number].down_spans
-    silent_since = run.record.silent_since.get(number, math.inf)
-    if changed_at >= silent_since:
-        return max(changed_at, silent_since + SILENT_WATCH_NOTICED_S)
+    silent_before = [at for at in run.record.silent_from.get(number, []) if at <= changed_at]
+    if silent_before:
+        return max(changed_at, max(silent_before) + SILENT_WATCH_NOTICED_S)
     if run.scenario.pushed_membership:
         fetched_at = max([changed_at, *(ended for start, ended in outages if start <= changed_at < ended)])
         return max([fetched_at, *(ended for start, ended in down if start <= fetched_at < ended)])
--- a/beaconhinge/standin/rig/record.py
+++ b/beaconhinge/standin/rig/record.py
@@ -50,8 +50,8 @@
     fault_hits: Counter[str] = field(default_factory=Counter)
     exit_statuses: list[int] = field(default_factory=list)
     drains: list[Drain] = field(default_factory=list)
-    # When the watch of a dispatcher fell silent.
-    silent_since: dict[int, float] = field(default_factory=dict)
+    # When watches of a dispatcher fell silent, in their order.
+    silent_from: dict[int, list[float]] = field(default_factory=dict)
     discovery_outages: dict[int, list[TimeSpan]] = field(default_factory=dict)
     spoilt_spans: dict[int, list[TimeSpan]] = field(default_factory=dict)
     # When discovery gave a dispatcher no whole list, though its watch went on.
