--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -55,6 +55,12 @@
             False,
             "no such test: tests/test_gone.py::test_red",
         ),
+        (
+            RED + "beaconhinge soak --seeds 7 | a fault | 8",
+            True,
+            "known red: beaconhinge soak --seeds 7: a fault (8)",
+        ),
+        ("beaconhinge soak --seeds 7 | a fault | 8", False, "1 failed, 1 passed"),
         ("tests/test_story.py::test_red | a fault", False, "not 'test | cause | issue'"),
         (RED + RED, False, "twice"),
         (RED + GREEN * 3, False, "4 lines, 3 at most"),
