Deadlines on one clock: a pause between two readings cost the policy's answer

Cause: one deadline stood on several readings of the clock. The end of an attempt was armed by a difference to an earlier reading, the policy's own timer from when its action was carried out, the policy's deadline from when it heard of the job, the backstop from when the request's task began. A process that stood still between two of these moved one and not the others: the backstop came first, and the client got 502 though the policy had never been asked.

Why this works: `TimerWheel.at` takes times, and what is due is fired in the order of these times, however long the process stood. All of a job's times count from its arrival, the policy's from the reading that it was given with its event, so that what the policy does before the deadline is due before the backstop. A wake-up of the loop that was set during a pause is set again, so the answer is late by no more than the pause.

--- a/beaconhinge/dispatch/policy_runner.py
+++ b/beaconhinge/dispatch/policy_runner.py
@@ -41,6 +41,7 @@
         self.monitor = SendMonitor(self._report_violation)
         self._events: deque[interface.Event] = deque()
         self._feeding = False
+        self._event_at = 0.0  # time of the event being handled, as the policy has it
         self.on_event_failed: Callable[[interface.Event], object] = lambda _event: None
         self.check_for_stall: Callable[[], object] = lambda: None
 
@@ -71,8 +72,9 @@
             self._feeding = False
 
     def _handle(self, event: interface.Event) -> None:
+        self._event_at = self.timers.now()
         try:
-            actions = self.dispatcher.handle(self.timers.now(), event)
+            actions = self.dispatcher.handle(self._event_at, event)
         except Exception as error:  # noqa: BLE001  # the request of that event still gets its answer
             self.metrics.log_exception(f"module on {type(event).__name__}", error)
             self.on_event_failed(event)
@@ -100,4 +102,5 @@
             owner(action)
 
     def _set_timer(self, action: interface.SetTimer) -> None:
-        self.timers.after(action.after, lambda: self.feed(interface.TimerFired(action.token)))
+        # Counted from the event: between that and now the process may have stood still.
+        self.timers.at(self._event_at + action.after, lambda: self.feed(interface.TimerFired(action.token)))
--- a/beaconhinge/dispatch/request.py
+++ b/beaconhinge/dispatch/request.py
@@ -199,17 +199,16 @@
         table.policy_runner.request_handlers[self.number] = self._steps.put_nowait
         unsafe = table.settings.classes[job.class_index].semantics == Semantics.UNSAFE
         table.policy_runner.monitor.request_started(job.id, job.deadline, unsafe)
-        overdue_after_s = job.remaining_s + table.settings.answer_grace_s / 2
-        backstop = table.timers.after(overdue_after_s, lambda: self._steps.put_nowait(Overdue()))
-        key, spent_s = KeyStatus(), 0.0
+        overdue_at = job.deadline + table.settings.answer_grace_s / 2
+        backstop = table.timers.at(overdue_at, lambda: self._steps.put_nowait(Overdue()))
+        key = KeyStatus()
         try:
             if table.wait_before_admission is not None or table.keys is not None and job.idempotency_key:
                 key = await self._look_up_key()
-                spent_s = table.timers.now() - job.received_at
             if key.result is not None:
                 self._finish(Answer(RequestEnd.SERVED, key.result))
                 return
-            self._submit(key, spent_s)
+            self._submit(key)
             # The last steps count as well: each send is due its outcome, and the policy each outcome.
             while not self.answer.done() or not self._steps.empty() or any(a.open for a in self._attempts):
                 self._handle(await self._steps.get())
@@ -218,9 +217,11 @@
             self._finish(Answer(RequestEnd.FAILED))  # only if something above has failed
             self._leave_table(key)
 
-    def _submit(self, key: KeyStatus, spent_s: float) -> None:
-        """Let the policy decide on the job, `spent_s` after its arrival."""
+    def _submit(self, key: KeyStatus) -> None:
+        """Let the policy decide on the job, in the time that is left of its own."""
         job = self.job
+        now = self.table.timers.now()
+        spent_s = now - job.received_at
         self.table.policy_runner.feed(
             interface.JobArrived(
                 self.number,
@@ -234,6 +235,7 @@
                 flags=RETRY_FLAG if job.is_retry else 0,
                 may_run_elsewhere=key.may_run_elsewhere,
                 client_timeout=max(job.client_timeout_s - spent_s, 0.0),
+                times_from=now,
             )
         )
         if self.observer is not None:
@@ -276,7 +278,7 @@
         A slow disk, or dispatchers that do not answer, must not cost it its answer.
         """
         try:
-            async with self.table.timers.timeout(self.job.remaining_s / 2):
+            async with self.table.timers.timeout_at(self.job.received_at + self.job.remaining_s / 2):
                 if self.table.wait_before_admission is not None:
                     await self.table.wait_before_admission()
                 if self.table.keys is not None and self.job.idempotency_key:
@@ -305,7 +307,7 @@
         if not self.client_is_waiting() or until <= now or not one_at_a_time:
             attempt.end(AttemptOutcome.NOT_SENT)
             return
-        attempt.timer = self.table.timers.after(until - now, lambda: attempt.end(AttemptOutcome.TIMEOUT))
+        attempt.timer = self.table.timers.at(until, lambda: attempt.end(AttemptOutcome.TIMEOUT))
         self.table.metrics.trace(
             "attempts", "attempt", request=self.job.id, worker=order.worker, number=attempt.number
         )
--- a/beaconhinge/policy/arrivals.py
+++ b/beaconhinge/policy/arrivals.py
@@ -28,7 +28,8 @@
         The objective counts from the client's first try. A later one is marked or, where clients do not mark
         theirs, shows by the less time it came with; marked ones guard against clients that just wait less.
         """
-        now, settings = self._context.now, self._context.settings
+        settings = self._context.settings
+        counted_from = job.times_from or self._context.now
         cls = settings.classes[job.class_index]
         seconds_per_work = self._estimates.seconds_per_work
         run = job.size_hint or UNHINTED_WORK_SHARE * seconds_per_work
@@ -37,7 +38,7 @@
         longest = max(self.max_client_timeouts[job.class_index], given)
         self.max_client_timeouts[job.class_index] = longest
         repeat = bool(job.flags & RETRY_FLAG) or not settings.clients_mark_retries
-        first_try = now - (longest - given if repeat else 0.0)
+        first_try = counted_from - (longest - given if repeat else 0.0)
         objective_at = first_try + cls.latency_objective_s + cls.objective_stretch * run
         return Request(
             id=job.request,
@@ -45,7 +46,7 @@
             slots=max(job.slots, 1.0),
             work=job.size_hint or 1.0,
             first_tried_at=first_try,
-            deadline=now + job.remaining,
+            deadline=counted_from + job.remaining,
             objective_at=objective_at,
             expected_s=expected,
             start_by=max(first_try + cls.latency_objective_s / 2, objective_at - expected),
--- a/beaconhinge/policy/interface/events.py
+++ b/beaconhinge/policy/interface/events.py
@@ -71,6 +71,8 @@
     flags: int = 0
     may_run_elsewhere: bool = False  # it may have run elsewhere, and nobody knows where
     client_timeout: float = 0.0  # seconds that its client waits, maybe more than `remaining`; 0: no more
+    # From when these two times count; 0: from the event itself. Not on the simulator's wire.
+    times_from: float = 0.0
 
 
 @dataclass(slots=True)
--- a/beaconhinge/runtime/timer_wheel.py
+++ b/beaconhinge/runtime/timer_wheel.py
@@ -1,4 +1,8 @@
-"""A timer wheel of coarse ticks. A timer never fires early, at most a tick late while the loop is free."""
+"""A timer wheel of coarse ticks. A timer never fires early, at most a tick late while the loop is free.
+
+Timers are due at times of the wheel's clock. A process that stands still fires what has become due meanwhile
+in the order of these times, wherever in the program it stood.
+"""
 
 from __future__ import annotations
 
@@ -14,9 +18,10 @@
 class Timer:
     """One call at a time to come; `call` is None once it was made or cancelled."""
 
-    __slots__ = ("callback", "due_tick")
+    __slots__ = ("callback", "due_at", "due_tick")
 
-    def __init__(self, due_tick: int, callback: Callable[[], object]) -> None:
+    def __init__(self, due_at: float, due_tick: int, callback: Callable[[], object]) -> None:
+        self.due_at = due_at
         self.due_tick = due_tick
         self.callback: Callable[[], object] | None = callback
 
@@ -47,11 +52,19 @@
         self.postponed_for: Callable[[], float] = lambda: 0.0
 
     def after(self, seconds: float, call: Callable[[], object]) -> Timer:
-        """Call something after so many seconds, not earlier."""
+        """Call something after so many seconds from now, not earlier.
+
+        What is due at a time that is known already is set by `at`: a difference to an earlier reading of the
+        clock grows by as long as the process stood still since.
+        """
+        return self.at(self.now() + seconds, call)
+
+    def at(self, time_s: float, call: Callable[[], object]) -> Timer:
+        """Call something at that time of the wheel's clock, not earlier; soon if it is over."""
         if self._count == 0:
             self._last_tick = max(self._last_tick, self._current_tick())
-        due = max(math.ceil((self.now() + seconds - self._origin) / TICK_S), self._last_tick + 1)
-        timer = Timer(due, call)
+        due = max(math.ceil((time_s - self._origin) / TICK_S), self._last_tick + 1)
+        timer = Timer(time_s, due, call)
         if self._stopped:
             return timer
         self._slots[due % SLOTS].append(timer)
@@ -61,8 +74,12 @@
         return timer
 
     def timeout(self, seconds: float) -> Timeout:
-        """Bound the time of an `async with` block."""
-        return Timeout(self, seconds)
+        """Bound the time of an `async with` block, counted from its beginning."""
+        return Timeout(self, lambda: self.now() + seconds)
+
+    def timeout_at(self, time_s: float) -> Timeout:
+        """End an `async with` block at that time of the wheel's clock."""
+        return Timeout(self, lambda: time_s)
 
     def stop(self) -> None:
         """Fire nothing from now on: a task that a timer begins while the loop closes would stay pending."""
@@ -92,7 +109,7 @@
                 ]
                 self._count -= len(slot) - len(self._slots[tick % SLOTS])
         self._last_tick = max(self._last_tick, target)
-        for timer in sorted(due, key=lambda t: t.due_tick):
+        for timer in sorted(due, key=lambda t: t.due_at):
             call, timer.callback = timer.callback, None
             if call is not None:
                 try:
@@ -109,23 +126,29 @@
     def _schedule_wakeup(self) -> None:
         ahead = next((n for n in range(1, SLOTS) if self._slots[(self._last_tick + n) % SLOTS]), SLOTS)
         self._wakeup_tick = self._last_tick + ahead
-        wait = self._origin + self._wakeup_tick * TICK_S - self.now()
-        if self._wakeup is not None:
-            self._wakeup.cancel()
-        self._wakeup = asyncio.get_running_loop().call_later(max(wait, 0.0), self.fire_due)
+        now = self.now()
+        while True:
+            wait = self._origin + self._wakeup_tick * TICK_S - now
+            if self._wakeup is not None:
+                self._wakeup.cancel()
+            self._wakeup = asyncio.get_running_loop().call_later(max(wait, 0.0), self.fire_due)
+            before, now = now, self.now()
+            if wait <= 0.0 or now - before < TICK_S:
+                return  # else the process stood still meanwhile, and the loop's timer is late by that
 
 
 class Timeout:
     """`async with timers.timeout(seconds)`: the body gets that long, then TimeoutError is raised."""
 
-    def __init__(self, timers: TimerWheel, seconds: float) -> None:
+    def __init__(self, timers: TimerWheel, end: Callable[[], float]) -> None:
+        """`end` returns the time at which the body ends, as it begins."""
         self._timers = timers
-        self._seconds = seconds
+        self._end = end
         self._expired = False
 
     async def __aenter__(self) -> Timeout:
         self._task = asyncio.current_task()
-        self._timer = self._timers.after(self._seconds, self._expire)
+        self._timer = self._timers.at(self._end(), self._expire)
         return self
 
     def _expire(self) -> None:
