--- a/beaconhinge/cli/soak.py
+++ b/beaconhinge/cli/soak.py
@@ -4,6 +4,7 @@
 
 import json
 from collections import Counter
+from pathlib import Path
 from typing import TYPE_CHECKING, Annotated
 
 import typer
@@ -32,6 +33,7 @@
     only: Annotated[str, typer.Option(help="Numbers of the faults to keep.")] = "",
     shrink: Annotated[bool, typer.Option(help="Leave out faults while a seed still fails.")] = True,
     as_json: Annotated[bool, typer.Option("--json", help="A line a seed, and the sum.")] = False,
+    logs: Annotated[Path | None, typer.Option(help="Folder for the logs of each seed.")] = None,
 ) -> int:
     """Play seed after seed of random faults, and judge by what clients, workers and discovery recorded.
 
@@ -45,7 +47,7 @@
     failed, hits = list[int](), Counter[str]()
     for seed in _parse_seeds(seeds):
         scenario = _keep_faults(draw_soak(seed, processes), only)
-        verdict = _run_scenario(scenario)
+        verdict = _run_scenario(scenario, None if logs is None else logs / f"seed-{seed}")
         hits.update(verdict.faults)
         failed += [] if verdict.well else [seed]
         _print_verdict(seed, verdict, as_json)
@@ -81,11 +83,11 @@
         print(f"  broken: {broken}", flush=True)
 
 
-def _run_scenario(scenario: Scenario) -> Verdict:
+def _run_scenario(scenario: Scenario, logs: Path | None = None) -> Verdict:
     from ..standin.rig import run_scenario
     from .terminated import run_until_terminated
 
-    return run_until_terminated(run_scenario(scenario))
+    return run_until_terminated(run_scenario(scenario, logs=logs))
 
 
 def _keep_faults(scenario: Scenario, only: str) -> Scenario:
--- a/beaconhinge/standin/rig/clients.py
+++ b/beaconhinge/standin/rig/clients.py
@@ -143,10 +143,12 @@
         except TimeoutError:
             if disconnects:
                 attempt.outcome, attempt.disconnected_at = "left", time.monotonic()
+            else:
+                attempt.missing_why = "the client waited no longer"
         except NobodyThereError:
             attempt.outcome = "nobody"
-        except (OSError, Closed, BadMessage):
-            pass
+        except (OSError, Closed, BadMessage) as error:
+            attempt.missing_why = f"{type(error).__name__}: {error}"
         attempt.ended_at = time.monotonic()
         return attempt.outcome
 
--- a/beaconhinge/standin/rig/judge.py
+++ b/beaconhinge/standin/rig/judge.py
@@ -15,6 +15,7 @@
     ClientAttempt,
     Verdict,
     attempts_after_disconnect,
+    describe_missing,
     ejections_logged,
     keys_run_twice,
     lease_violations,
@@ -166,7 +167,7 @@
     down_spans = [process.down_spans for process in run.topology.processes]
     unanswered = missing_without_excuse(attempts, down_spans, ANSWER_GRACE_S)
     for lost in islice((a for a in unanswered if not _shut_by_crowd(run, a)), MAX_EXAMPLES):
-        yield f"no answer from dispatcher {lost.dispatcher} to a {lost.job_class}"
+        yield describe_missing(lost, run.record.began_at, run.topology.has_reached_worker(lost.request_id))
     once = [*run.clients.answered, *(a.request_id for a in attempts if a.job_class == "transfer")]
     for key in keys_run_twice({key: runs[key] for key in once}):
         yield f"key {key} ran {runs[key]} times"
--- a/beaconhinge/standin/rig/runner.py
+++ b/beaconhinge/standin/rig/runner.py
@@ -14,6 +14,7 @@
 from .judge import judge
 from .lease_resource import LeaseResource
 from .record import FinishedRun, RunRecord, ignore_event
+from .run_logs import write_logs
 from .scenario import Scenario, draw_faults
 from .topology import Topology
 from .verdict import Verdict
@@ -102,11 +103,23 @@
         topology.links.close()
 
 
-async def run_scenario(scenario: Scenario, on_event: Callable[[str], None] = ignore_event) -> Verdict:
+async def run_scenario(
+    scenario: Scenario, on_event: Callable[[str], None] = ignore_event, logs: Path | None = None
+) -> Verdict:
     """Run a scenario in a folder of its own, which is deleted afterwards.
 
+    Args:
+        scenario: The scenario.
+        on_event: Is called with a line of text for each fault as it begins and ends.
+        logs: A folder for the logs of the processes and the clients' attempts; None keeps none.
+
     Raises:
         SceneError: A process did not start.
     """
     with tempfile.TemporaryDirectory(prefix="beaconhinge-") as folder:
-        return await ScenarioRun(draw_faults(scenario), Path(folder), on_event).run()
+        run = ScenarioRun(draw_faults(scenario), Path(folder), on_event)
+        try:
+            return await run.run()
+        finally:
+            if logs is not None:
+                write_logs(run.topology, run.clients.attempts, run.record, logs)
--- a/beaconhinge/standin/rig/verdict.py
+++ b/beaconhinge/standin/rig/verdict.py
@@ -18,6 +18,7 @@
     """One attempt of a client at one dispatcher. Times are of the rig's clock.
 
     `outcome` is a status, `missing` or `left`; `disconnected_at` is 0 unless the client left before it.
+    `missing_why` is why there is no answer.
     """
 
     key: str
@@ -30,6 +31,7 @@
     request_id: str = ""
     timeout_s: float = 0.0
     disconnected_at: float = 0.0
+    missing_why: str = ""
 
 
 class Act(msgspec.Struct):
@@ -125,6 +127,23 @@
     ]
 
 
+def describe_missing(attempt: ClientAttempt, began_at: float, reached_worker: bool) -> str:
+    """Describe an attempt without an answer: which, when it was sent, and how it ended.
+
+    Args:
+        attempt: The attempt.
+        began_at: When the run began.
+        reached_worker: Whether a worker had the request.
+    """
+    waited_s = attempt.ended_at - attempt.sent_at
+    return (
+        f"no answer from dispatcher {attempt.dispatcher} to a {attempt.job_class}: "
+        f"{attempt.request_id} sent at {attempt.sent_at - began_at:.2f} s, "
+        f"over after {waited_s:.2f} of {attempt.timeout_s:.2f} s ({attempt.missing_why or 'unknown'}), "
+        f"{'had' if reached_worker else 'not had'} by a worker"
+    )
+
+
 def lost_in_shutdowns(
     attempts: Iterable[ClientAttempt],
     shutdowns: Sequence[Shutdown],
