Jobs leave connections free for call-backs: a full dispatcher served nobody

Cause: call-backs come by the same listener as clients. Once jobs in work held all connections that clients may have, nothing was accepted any more: the results that would have ended these jobs stood in the backlog behind further clients. Each job held its connection until its deadline, then a client was let in whose time was nearly over, whose job did the same.

Why this works: connections whose job has no answer yet are bounded at seven eighths of the clients' share. Beyond that a job is refused at once and leaves its place as soon as the answer is written, so the listener always goes on to accept.

--- a/beaconhinge/net/client_connection.py
+++ b/beaconhinge/net/client_connection.py
@@ -58,7 +58,7 @@
             self.clients.has_sent_message(client)
             reply = await self.respond(client, message)
             if reply.close:
-                await self._answer_last(client, reply.data)
+                await self._answer_last(client, reply.data, reply.leaves_room)
                 return
             async with self.timers.timeout(WRITE_TIMEOUT_S):
                 await client.connection.send(reply.data)
@@ -82,13 +82,15 @@
             raise Closed
         raise BadMessage(408, f"the message was not whole after {limit_s:g} s")
 
-    async def _answer_last(self, client: Client, data: bytes) -> None:
+    async def _answer_last(self, client: Client, data: bytes, leaves_room: bool = False) -> None:
         """Write the last answer of a connection, and let the peer read it before the connection closes."""
         self.clients.has_sent_message(client)
         client.answering = True
         try:
             async with self.timers.timeout(LINGER_S):
                 await client.connection.send(data)
+                if leaves_room:
+                    self.clients.leave_room(client)
                 await client.connection.linger()
         except OSError:
             pass
--- a/beaconhinge/net/client_table.py
+++ b/beaconhinge/net/client_table.py
@@ -73,6 +73,11 @@
         self.clients.pop(client, None)
         self.without_message.pop(client, None)
 
+    def leave_room(self, client: Client) -> None:
+        """Leave its place to others: it has its last answer, and is about to close."""
+        self.forget(client)
+        self.closing.add(client)
+
     def closed(self, client: Client) -> None:
         """Take it out for good."""
         self.forget(client)
--- a/beaconhinge/net/listener.py
+++ b/beaconhinge/net/listener.py
@@ -25,6 +25,7 @@
     from .streams import Streams
 
 RESERVED_FOR_WORKERS = 0.25  # part of the sockets that clients leave to connections to workers
+RESERVED_FOR_CALLBACKS = 0.125  # part of the clients' connections that jobs in work leave free
 ACCEPTS_IN_A_TURN = 64  # connections, before others have their turn
 ACCEPT_RETRY_S = 0.01  # after a failed accept
 MAX_ACCEPT_FAILURES = 64  # as the listener closes: it can't wait for better times
@@ -59,7 +60,15 @@
         self.state = ServingState()
         self.clients = ClientTable(timers, metrics)
         parser = JobParser(config, timers.now, metrics)
-        self.router = RequestRouter(requests, parser, on_callback, lambda: self.serving, self.state, metrics)
+        self.router = RequestRouter(
+            requests,
+            parser,
+            on_callback,
+            lambda: self.serving,
+            lambda: self.max_jobs,
+            self.state,
+            metrics,
+        )
         self.server = ClientServer(self.clients, self.router.respond, timers, metrics)
         self.shutdown = Shutdown(
             self.state,
@@ -191,6 +200,11 @@
         of_sockets = int((1 - RESERVED_FOR_WORKERS) * self.budget.total)
         return min(of_sockets, int(limits.max_connections * self.budget.share))
 
+    @property
+    def max_jobs(self) -> int:
+        """Connections of clients that may wait for a job's answer at a time."""
+        return max(1, int((1 - RESERVED_FOR_CALLBACKS) * self.max_clients))
+
     def _reserve(self) -> bool:
         """Take a descriptor for one more connection.
 
--- a/beaconhinge/net/request_router.py
+++ b/beaconhinge/net/request_router.py
@@ -25,10 +25,17 @@
 
 @dataclass(slots=True, frozen=True)
 class Reply:
-    """The bytes of an answer that are still to be written, and whether the connection ends with it."""
+    """The bytes of an answer that are still to be written.
+
+    Attributes:
+        data: the bytes.
+        close: whether the connection ends with them.
+        leaves_room: whether its place is another's as soon as they are written.
+    """
 
     data: bytes
     close: bool
+    leaves_room: bool = False
 
 
 class RequestRouter:
@@ -36,6 +43,7 @@
 
     Attributes:
         streams: answers as streams, where they are configured.
+        jobs_in_work: connections whose job has no answer yet.
     """
 
     def __init__(
@@ -44,17 +52,31 @@
         parser: JobParser,
         on_callback: Callable[[bytes], None],
         is_serving: Callable[[], bool],
+        max_jobs: Callable[[], int],
         state: ServingState,
         metrics: Metrics,
     ) -> None:
-        """`on_callback` takes what workers report of jobs; `is_serving` is what the health check says."""
+        """Answer nothing yet.
+
+        Args:
+            requests: takes the jobs.
+            parser: makes them of messages.
+            on_callback: takes what workers report of jobs.
+            is_serving: what the health check says.
+            max_jobs: connections that may wait for a job's answer at a time. Workers' call-backs come by the
+                same listener: behind jobs that fill it they would wait until these are given up.
+            state: how far this process is on a way out.
+            metrics: counts what is refused.
+        """
         self.requests = requests
         self.parser = parser
         self.on_callback = on_callback
         self.is_serving = is_serving
+        self.max_jobs = max_jobs
         self.state = state
         self.metrics = metrics
         self.streams: Streams | None = None
+        self.jobs_in_work = 0
 
     async def respond(self, client: Client, message: Message) -> Reply:
         """Have a message answered.
@@ -108,6 +130,17 @@
         if self.requests.full:
             self.metrics.count_and_log("requests_over_limit", held=len(self.requests.requests))
             return Reply(answer_bytes(self.requests.reject(job), close), close)
+        if self.jobs_in_work >= self.max_jobs():
+            self.metrics.count_and_log("jobs_over_connections", in_work=self.jobs_in_work)
+            return Reply(answer_bytes(self.requests.reject(job), True), True, leaves_room=True)
+        self.jobs_in_work += 1
+        try:
+            return await self._answer_job(client, message, job, close)
+        finally:
+            self.jobs_in_work -= 1
+
+    async def _answer_job(self, client: Client, message: Message, job: Job, close: bool) -> Reply:
+        """Have a job done, and its answer written as far as it is a stream."""
         if self.streams is not None and self.streams.wants_stream(message):
             close = close or client.connection.version != "1.1"  # which knows no chunks
             outcome = await self.streams.answer(client.connection, job, close)
