A policy that is late is asked at the deadline; what tells its clocks apart is logged

Callers saw: 502 "the job may have run" whenever the policy had given no answer 4 ms after a deadline, also where nothing had run; the policy was told that the client had left, which had not happened. Answers that came late because the process stood still were counted nowhere.

Cause: the backstop of a request knew one answer.

Change: `DeadlinePassed` lets the policy give its answer, by what may have run; the check `answered_by_deadline` counts as before. Leases and lists are timed by `TimerWheel.at`.

Measured: with the scripted policy that forgets a request, 503 in place of 502.

--- a/beaconhinge/dispatch/request.py
+++ b/beaconhinge/dispatch/request.py
@@ -23,6 +23,9 @@
     RequestEnd.FAILED: figures.FAILURE,
 }
 
+# Seconds after its deadline from which an answer counts as late.
+LATE_ANSWER_S = 0.1
+
 # Request numbers stay under 2^32 like the simulator's; the policy adds to them for its timers.
 REQUEST_NUMBERS = 0xFFFF0000
 
@@ -345,10 +348,27 @@
             # The loop was late: the policy's answer may wait behind the outcome at the deadline.
             self._steps.put_nowait(step)
             return
-        # The policy answers before this; if it fails to, the client gets an answer still.
+        # The policy answers before this; if it fails to, it is asked, and the client gets an answer still.
         if not self.table.metrics.check(self.answer.done(), "answered_by_deadline"):
-            self._finish(Answer(RequestEnd.FAILED))
-            self.table.policy_runner.feed(interface.ClientDisconnected(self.number))
+            self.table.metrics.log("request_overdue", **self._overdue_state())
+            self.table.policy_runner.feed(interface.DeadlinePassed(self.number))
+            if self._steps.empty():
+                self._finish(Answer(RequestEnd.FAILED))
+
+    def _overdue_state(self) -> dict[str, object]:
+        """What is logged of a request without an answer. Times are seconds after its deadline."""
+        deadline, now = self.job.deadline, self.table.timers.now()
+        return {
+            "request": self.job.id,
+            "now": now - deadline,
+            "received": self.job.received_at - deadline,
+            "attempts": len(self._attempts),
+            "attempt_ends": " ".join(
+                f"{attempt.timer.due_at - deadline:.4f}"
+                for attempt in self._attempts
+                if attempt.open and attempt.timer is not None
+            ),
+        }
 
     def _on_attempt_finished(self, step: AttemptFinished) -> None:
         attempt = step.attempt
@@ -389,6 +409,11 @@
             if not attempt.may_be_written:  # it waits for its connection, and nobody for it
                 attempt.end(AttemptOutcome.NOT_SENT)
         self.table.metrics.count("answer_" + answer.end)
+        late_s = self.table.timers.now() - self.job.deadline
+        if late_s > LATE_ANSWER_S and answer.end is not RequestEnd.CLIENT_GONE:
+            self.table.metrics.count_and_log(
+                "answers_late", request=self.job.id, seconds=late_s, end=answer.end
+            )
         self.table.metrics.trace(
             "attempts", "answered", request=self.job.id, end=answer.end, attempts=len(self._attempts)
         )
--- a/beaconhinge/net/discovery_connection.py
+++ b/beaconhinge/net/discovery_connection.py
@@ -168,7 +168,7 @@
             while not connection.settled:
                 complete = self._reader.content_complete
                 idle_s = CONTENT_END_TIMEOUT_S if complete else BODY_IDLE_TIMEOUT_S
-                async with self._timers.timeout(min(idle_s, deadline_s - self._timers.now())):
+                async with self._timers.timeout_at(min(self._timers.now() + idle_s, deadline_s)):
                     if not await connection.reading():
                         break
             return await connection.next()
--- a/beaconhinge/net/leases.py
+++ b/beaconhinge/net/leases.py
@@ -291,7 +291,7 @@
 
     def release_later(self, lease: _LocalLease) -> None:
         """Give the lease up once no act can be under way."""
-        self.timers.after(max(0.0, lease.busy_until - self.timers.now()), lambda: self.release(lease))
+        self.timers.at(lease.busy_until, lambda: self.release(lease))
 
     def release(self, lease: _LocalLease) -> None:
         """Have the node give the lease up."""
@@ -445,7 +445,7 @@
         if self._timer is not None:
             self._timer.cancel()
         self._timer_at = at
-        self._timer = self.timers.after(max(0.0, at - self.timers.now()), self._advance)
+        self._timer = self.timers.at(at, self._advance)
 
     def _advance(self) -> None:
         self._timer, self._timer_at = None, math.inf
--- a/beaconhinge/policy/dispatcher.py
+++ b/beaconhinge/policy/dispatcher.py
@@ -186,6 +186,12 @@
         if event.request in self.requests.by_id:
             self.requests.end(self.requests.by_id[event.request])
 
+    def on_deadline_passed(self, event: interface.DeadlinePassed) -> None:
+        """A request should have had its final answer: give it."""
+        request = self.requests.by_id.get(event.request)
+        if request is not None and not request.answered:
+            self.requests.finish(request)
+
     def on_peer_message(self, event: interface.PeerMessage) -> None:
         """A peer reports its demand, or outcomes on workers."""
         for entry in self.gossip.receive(self.context.now, event.peer, event.payload):
@@ -242,6 +248,7 @@
         interface.ProgressNotice: on_progress,
         interface.StreamStarted: on_request_over,
         interface.ClientDisconnected: on_request_over,
+        interface.DeadlinePassed: on_deadline_passed,
         interface.PeerMessage: on_peer_message,
         interface.TimerFired: on_timer,
         interface.ProcessStalled: on_process_stalled,
--- a/beaconhinge/policy/interface/__init__.py
+++ b/beaconhinge/policy/interface/__init__.py
@@ -31,6 +31,7 @@
 from .events import (
     AttemptEnded,
     ClientDisconnected,
+    DeadlinePassed,
     Event,
     JobArrived,
     MaintenanceMode,
@@ -53,6 +54,7 @@
     "AttemptOutcome",
     "CancelAttempt",
     "ClientDisconnected",
+    "DeadlinePassed",
     "CloseIdleConnections",
     "Event",
     "Fail",
--- a/beaconhinge/policy/interface/events.py
+++ b/beaconhinge/policy/interface/events.py
@@ -117,6 +117,13 @@
     request: int
 
 
+@dataclass(slots=True)
+class DeadlinePassed:
+    """The request's deadline is past and it has no final answer. Not on the simulator's wire."""
+
+    request: int
+
+
 @dataclass(slots=True)
 class PeerMessage:
     """A datagram of another dispatcher of the group."""
@@ -159,6 +166,7 @@
     | StreamStarted
     | AttemptEnded
     | ClientDisconnected
+    | DeadlinePassed
     | PeerMessage
     | ProbeResult
     | ProcessStalled
--- a/tests/dispatch/test_request.py
+++ b/tests/dispatch/test_request.py
@@ -291,3 +291,15 @@
         assert harness.workers[0].seen.empty()
 
     run_scenario(scenario)
+
+
+def test_a_policy_that_is_late_is_asked_at_the_deadline(monkeypatch: pytest.MonkeyPatch) -> None:
+    # Guards against a 502 that says that a job may have run, where the policy knows that a repeat is harmless.
+    use_scripted_policy(monkeypatch, DeadlinePassed=[interface.Reject(1, 1.5)])
+    monkeypatch.setattr("beaconhinge.runtime.metrics.Metrics.check", lambda self, condition, name: condition)
+
+    async def scenario(harness: Harness) -> None:
+        answer = await harness.post(X_Timeout_Ms="100")
+        assert (answer.status, answer.headers["retry-after"]) == (503, "1.500")
+
+    run_scenario(scenario)
