Rig: a job that may be repeated and was said to have failed breaks the run

The 502 of the known failure was seen by the program's own counter alone; the judge took it for an answer like any other. So it is a rule of the judge now.

--- a/beaconhinge/standin/rig/judge.py
+++ b/beaconhinge/standin/rig/judge.py
@@ -25,6 +25,7 @@
     overstated_deadlines,
     served_share_of_attempts,
     served_share_of_jobs,
+    wrongly_failed,
 )
 
 # Last events of a run that a verdict names where a rule was broken.
@@ -168,6 +169,7 @@
     unanswered = missing_without_excuse(attempts, down_spans, ANSWER_GRACE_S)
     for lost in islice((a for a in unanswered if not _shut_by_crowd(run, a)), MAX_EXAMPLES):
         yield describe_missing(lost, run.record.began_at, run.topology.has_reached_worker(lost.request_id))
+    yield from wrongly_failed(attempts)[:MAX_EXAMPLES]
     once = [*run.clients.answered, *(a.request_id for a in attempts if a.job_class == "transfer")]
     for key in keys_run_twice({key: runs[key] for key in once}):
         yield f"key {key} ran {runs[key]} times"
--- a/beaconhinge/standin/rig/verdict.py
+++ b/beaconhinge/standin/rig/verdict.py
@@ -13,6 +13,11 @@
 
 TimeSpan = tuple[float, float]
 
+# The class of the rig's jobs that may be repeated without a key.
+RETRYABLE_CLASS = "render"
+# The status of a job that may have run.
+FAILED = "502"
+
 
 class ClientAttempt(msgspec.Struct):
     """One attempt of a client at one dispatcher. Times are of the rig's clock.
@@ -144,6 +149,19 @@
     )
 
 
+def wrongly_failed(attempts: Iterable[ClientAttempt]) -> list[str]:
+    """Find jobs that may be repeated whatever has run of them, and whose client was told that they failed.
+
+    Their final answer without a result is a rejection; the stand-ins answer none of them with a client error.
+    """
+    return [
+        f"dispatcher {attempt.dispatcher} answered {attempt.request_id}, a {attempt.job_class} that may be "
+        f"repeated, with {attempt.outcome}"
+        for attempt in attempts
+        if attempt.job_class == RETRYABLE_CLASS and attempt.outcome == FAILED
+    ]
+
+
 def lost_in_shutdowns(
     attempts: Iterable[ClientAttempt],
     shutdowns: Sequence[Shutdown],
--- a/tests/standin/test_judge.py
+++ b/tests/standin/test_judge.py
@@ -9,6 +9,7 @@
 
 from beaconhinge.standin.rig.judge import _notified_at
 from beaconhinge.standin.rig.record import RunRecord
+from beaconhinge.standin.rig.verdict import ClientAttempt, describe_missing, wrongly_failed
 
 
 def run_with(record: RunRecord) -> Any:
@@ -29,3 +30,30 @@
     """The latest one alone was kept: what changed after an earlier one was taken for told at once (soak 4547)."""
     record = RunRecord(silent_from={0: [2.0, 6.0]})
     assert _notified_at(run_with(record), 0, changed_at) == notified_at
+
+
+def test_a_job_that_may_be_repeated_is_never_said_to_have_failed() -> None:
+    # Guards against a 502 that no policy gave, which the program's own counter alone had shown (soak 4508).
+    answers = [
+        ("render", "502"),
+        ("render", "503"),
+        ("transfer", "502"),
+        ("publish", "502"),
+        ("render", "200"),
+    ]
+    attempts = [
+        ClientAttempt("", job_class, 7, 1.0, 2.0, outcome, request_id=f"r{number}")
+        for number, (job_class, outcome) in enumerate(answers)
+    ]
+    assert wrongly_failed(attempts) == ["dispatcher 7 answered r0, a render that may be repeated, with 502"]
+
+
+def test_a_missing_answer_is_named_with_its_time_and_reason() -> None:
+    # Guards against a verdict that names a dispatcher and nothing else (soak 2013).
+    attempt = ClientAttempt(
+        "", "render", 7, 104.5, 107.5, "missing", request_id="r1", timeout_s=1.0, missing_why="Closed: "
+    )
+    assert describe_missing(attempt, 100.0, reached_worker=False) == (
+        "no answer from dispatcher 7 to a render: r1 sent at 4.50 s, over after 3.00 of 1.00 s (Closed: ), "
+        "not had by a worker"
+    )
