--- a/tests/harness.py
+++ b/tests/harness.py
@@ -1,4 +1,4 @@
-"""The dispatcher on loopback sockets among scripted peers: the one helper of the stories."""
+"""The dispatcher on loopback sockets among scripted peers: the one helper of the scenarios."""
 
 from __future__ import annotations
 
@@ -278,7 +278,7 @@
     shared: Path | None = None,
     **changes: Any,
 ) -> None:
-    """Run a story; it may take ten seconds at most."""
+    """Run a scenario; it may take ten seconds at most."""
 
     async def run() -> None:
         async with (
--- a/tests/store/explore.py
+++ b/tests/store/explore.py
@@ -1,7 +1,7 @@
 """Cuts a scripted history of the store wherever it can be cut, and compares what is found with what was told.
 
 The history runs on the store's own engine over a simulated disk, without threads, so that a place of a cut
-and a seed say all. The stories and the deliberate defects share this one check.
+and a seed say all. The scenarios and the deliberate defects share this one check.
 """
 
 from __future__ import annotations
