--- a/beaconhinge/standin/rig/judge.py
+++ b/beaconhinge/standin/rig/judge.py
@@ -10,7 +10,7 @@
 from ...membership.inventory import worker_number
 from . import shim
 from .clients import ANSWER_GRACE_S
-from .record import FinishedRun
+from .record import FinishedRun, RunRecord
 from .verdict import (
     ClientAttempt,
     Verdict,
@@ -91,10 +91,17 @@
         stale=sum(not act.accepted for act in acts),
         orphans=record.orphaned_jobs,
         broken=broken,
-        last=record.events[-MAX_EVENTS:] if broken else [],
+        last=[*_own_stalls(record), *record.events[-MAX_EVENTS:]] if broken else [],
     )
 
 
+def _own_stalls(record: RunRecord) -> Iterator[str]:
+    """Say how often the rig itself stood still. Nothing is excused by that; it tells where to look first."""
+    if record.own_stalls:
+        longest_s = max(until - since for since, until in record.own_stalls)
+        yield f"the rig itself stood still {len(record.own_stalls)} times, {longest_s:.2f} s at most"
+
+
 @dataclass(frozen=True, slots=True)
 class _Service:
     """Parts of the jobs that were served, round the faults."""
--- a/beaconhinge/standin/rig/record.py
+++ b/beaconhinge/standin/rig/record.py
@@ -65,6 +65,13 @@
     # Seconds by which a fault that is over ended later than planned.
     faults_late_s: float = 0.0
     lease_acts: list[Act] = field(default_factory=list)
+    # When the rig's own process stood still, and with it all clients, workers and discoveries.
+    own_stalls: list[TimeSpan] = field(default_factory=list)
+
+    def log_own_stall(self, since: float, until: float) -> None:
+        """Write down that the rig's own process stood still."""
+        self.own_stalls.append((since, until))
+        self.log(f"the rig itself has stood still for {until - since:.2f} s")
 
     def log(self, text: str) -> None:
         """Write down an event with its time since the run began."""
--- a/beaconhinge/standin/rig/runner.py
+++ b/beaconhinge/standin/rig/runner.py
@@ -23,6 +23,9 @@
 SETTLE_S = 1.0
 # Seconds for which the front still opens connections to a dispatcher that has had SIGTERM.
 FRONT_NOTICES_S = 0.4
+# Seconds between two looks whether the rig itself stood still, and from which a delay says so.
+STALL_CHECK_S = 0.05
+OWN_STALL_S = 0.25
 
 
 class ScenarioRun:
@@ -62,6 +65,7 @@
         """Run the scenario to its end and judge it. Raises SceneError where a process does not start."""
         topology, record = self.topology, self.record
         await self.start_stand_ins()
+        watching = asyncio.create_task(self._watch_own_stalls())
         try:
             if self.scenario.store:
                 await topology.prepare_stores()
@@ -77,11 +81,21 @@
                 *(process.end(signal.SIGTERM) for process in topology.processes)
             )
         finally:
+            watching.cancel()
             await self.stop()
         return judge(
             FinishedRun(self.scenario, topology, self.clients, record, self.lease_resource.lease_names)
         )
 
+    async def _watch_own_stalls(self) -> None:
+        """Clients, workers and discoveries share this process: where it stands still, all of them do."""
+        while True:
+            before = time.monotonic()
+            await asyncio.sleep(STALL_CHECK_S)
+            now = time.monotonic()
+            if now - before > STALL_CHECK_S + OWN_STALL_S:
+                self.record.log_own_stall(before, now)
+
     async def start_stand_ins(self) -> None:
         """Start the links, the resource for leases and all servers."""
         self.topology.links.start()
--- a/tests/standin/test_judge.py
+++ b/tests/standin/test_judge.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from beaconhinge.standin.rig.judge import _notified_at
+from beaconhinge.standin.rig.judge import _notified_at, _own_stalls
 from beaconhinge.standin.rig.record import RunRecord
 from beaconhinge.standin.rig.verdict import ClientAttempt, describe_missing, wrongly_failed
 
@@ -57,3 +57,12 @@
         "no answer from dispatcher 7 to a render: r1 sent at 4.50 s, over after 3.00 of 1.00 s (Closed: ), "
         "not had by a worker"
     )
+
+
+def test_a_verdict_says_how_long_the_rig_itself_stood_still() -> None:
+    # Guards against an ejection of a healthy worker that nobody can tell from one that got no processor.
+    record = RunRecord(began_at=100.0)
+    assert list(_own_stalls(record)) == []
+    record.log_own_stall(101.0, 101.5)
+    record.log_own_stall(104.0, 105.42)
+    assert list(_own_stalls(record)) == ["the rig itself stood still 2 times, 1.42 s at most"]
