Review stand-ins take ports that the kernel gives to no outgoing connection

Cause: a port of the kernel's own range can be taken by an outgoing connection before the dispatcher listens there; in trials beside other tests a process then could not start.

Change: `free_ports` draws from 10000 to 32000, tried by a bind.

--- a/review/standins.py
+++ b/review/standins.py
@@ -10,6 +10,7 @@
 import contextlib
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -26,6 +27,7 @@
 ROOT = Path(__file__).resolve().parent.parent
 LOOPBACK = "127.0.0.1"
 OK, NO_CONTENT, ACCEPTED = 200, 204, 202
+FIRST_PORT, PORTS_END = 10000, 32000
 CALLBACK_ATTEMPTS = 10  # PROTOCOL: "It repeats each call until answered, at most ten times"
 REASONS = {200: "OK", 202: "Accepted", 204: "No Content", 400: "Bad Request", 404: "Not Found"}
 
@@ -54,15 +56,18 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return different free ports of the loopback address."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for sock in sockets:
-            sock.bind((LOOPBACK, 0))
-        return [sock.getsockname()[1] for sock in sockets]
-    finally:
-        for sock in sockets:
-            sock.close()
+    """Return different free ports of the loopback address.
+
+    They lie below those that the kernel gives to outgoing connections, which could take one before the
+    dispatcher listens there.
+    """
+    ports: list[int] = []
+    while len(ports) < count:
+        port = random.randrange(FIRST_PORT, PORTS_END)
+        with socket.socket() as sock, contextlib.suppress(OSError):
+            sock.bind((LOOPBACK, port))
+            ports += [port] * (port not in ports)
+    return ports
 
 
 # ---- HTTP --------------------------------------------------------------------------------------------
