--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,97 +1,136 @@
-"""Clients stop in the middle of a request and stay; the requests of other clients are never answered."""
+"""Discovery has too many callers; a keyed job is sent again after the window in which a repeat is dropped."""
 
 from __future__ import annotations
 
 import asyncio
-from collections import Counter
+from collections.abc import Awaitable
 
 from standins import (
     LOOPBACK,
     Case,
     Client,
     Discovery,
-    Outcome,
+    Message,
+    Run,
     Worker,
+    answer,
     base_config,
     free_ports,
-    read_message,
-    request,
     run_case,
 )
 
-MEMORY_MB = 96.0  # DAYS: "memory and descriptors are cut in half"; 192 MB and 1,024 at most on scored days
-SOCKETS = 512
-CROWD = 400  # LATER: "Others connect by hundreds"; DAYS: "thousands connect without ever finishing a job"
-CROWD_FROM_S = 3.0
-TRAFFIC_S = 18.0
-JOB_S = 0.4  # BRIEF: a `render` runs for 390 to 760 ms on average
-JOB_TIMEOUT_MS = 3000
-ANSWER_SLACK_S = 0.55  # STANDING: half a second after its time; sockets: 50 ms more
-OWED_S = 3.0  # STANDING: "they get their error or close within the 3 s that bad clients are owed"
-
-
-async def stop_in_the_middle(case: Case, client: Client, number: int, waits: list[float]) -> None:
-    """Ask for a class that doesn't exist, then send half a request and stay until the dispatcher ends it."""
-    try:
-        reader, writer = await asyncio.open_connection(*client.dispatcher)
-        writer.write(request("POST", "/nosuch", {"X-Request-ID": f"bad{number}", "X-Timeout-Ms": "3000"}))
-        first = await read_message(reader)
-        writer.write(b"POST /render HTTP/1.1\r\nHost: service.internal\r\nX-Requ")
-        sent_at = case.record.now()
-        case.record.write(f"bad client {number} is answered {first.status}, sends half a request and stays")
-        second = await reader.read(100)
-        waits.append(case.record.now() - sent_at)
-        case.record.write(f"bad client {number} is ended after {waits[-1]:.2f} s: {second[:12]!r}")
-        writer.close()
-    except (OSError, EOFError) as error:
-        case.record.write(f"bad client {number}: {type(error).__name__}")
-
-
-async def traffic(case: Case, client: Client, seconds: float) -> list[Outcome]:
-    """Send a job five times a second, each on a new connection, and return how each ended."""
-    end, jobs, number = case.record.now() + seconds, [], 0
-    while case.record.now() < end:
-        number += 1
-        jobs.append(case.beside(client.send("/render", f"job{number}", JOB_TIMEOUT_MS)))
-        await asyncio.sleep(0.2)
-    return list(await asyncio.gather(*jobs))
+WINDOW_S = 5.0  # settings: requestClasses[].dedupWindow
+SLACK_S = 0.05  # PROTOCOL: "every time limit is longer by 50 ms"
+JOB_S = 3.0  # BRIEF: a `publish` runs for 1,600 to 3,000 ms on average
+JOB_TIMEOUT_MS = 20000
+CROWD_S = 12.0
+LONG_QUEUE_S = 5.0  # from the beginning of the crowd: all calls of that time wait too long
+TOO_LONG_S = 2.5  # that a call may wait for its turn
+SHORTER_QUEUE_S = 2.4  # that a call waits for its turn after that time
+SENT_AFTER_S = 2.0  # after the last answer before the crowd
+LOST_AFTER_S = 6.3  # the same, until the worker's job is killed
+UNAVAILABLE = 503
+
+
+class CrowdedDiscovery(Discovery):
+    """Has too many callers for a while: calls wait for their turn, and who has waited too long gets 503."""
+
+    crowded_from = crowded_until = 0.0
+
+    async def _answer(self, message: Message) -> bytes:
+        now = self.record.now()
+        if not self.crowded_from <= now < self.crowded_until:
+            return await super()._answer(message)
+        self.record.write(f"discovery: has too many callers, {message.target} waits for its turn")
+        if now < self.crowded_from + LONG_QUEUE_S:
+            await asyncio.sleep(TOO_LONG_S)
+            self.record.write(f"discovery: {message.target} has waited too long, answers 503")
+            return answer(UNAVAILABLE)
+        await asyncio.sleep(SHORTER_QUEUE_S)
+        return await super()._answer(message)
+
+
+class Fleet:
+    """Nine workers in three cells; a cell does not run a key again that it has seen within the window.
+
+    Attributes:
+        sent: When each attempt arrived, and its cell.
+        applied: When each run began.
+        killed_at: When the first run is killed.
+    """
+
+    def __init__(self, case: Case, dispatcher: tuple[str, int]) -> None:
+        """Create the workers."""
+        self.case = case
+        self.workers = [Worker(f"w{n}", case.record, dispatcher, JOB_S, cell=n // 3) for n in range(9)]
+        self.sent: list[tuple[float, int]] = []
+        self.applied: list[float] = []
+        self.killed_at = 0.0
+        self._seen_by_cell: dict[int, float] = {}
+        for worker in self.workers:
+            worker.instead_of_run = self._run
+
+    def _run(self, run: Run) -> Awaitable[bool]:
+        return self._begin(run, next(worker for worker in self.workers if worker.name == run.worker))
+
+    async def _begin(self, run: Run, worker: Worker) -> bool:
+        now = self.case.record.now()
+        self.sent.append((now, worker.cell))
+        seen_at = self._seen_by_cell.setdefault(worker.cell, now)
+        if seen_at < now <= seen_at + WINDOW_S:
+            self.case.record.write(f"{worker.name}: cell {worker.cell} drops the repeat of key {run.key}")
+            await worker.call_back(run, "failed")
+            return True
+        self.applied.append(now)
+        if len(self.applied) > 1:
+            return False  # it runs to its end
+        self.case.record.write(f"{worker.name} starts {run.request_id}, cell {worker.cell}")
+        await worker.call_back(run, "started")
+        await asyncio.sleep(max(0.0, self.killed_at - self.case.record.now()))
+        self.case.record.write(f"{worker.name}: the job {run.request_id} is killed")
+        await worker.call_back(run, "lost")
+        return True
 
 
 async def play(case: Case) -> bool:
     """Play the case; return whether the rule was broken."""
     listen, mgmt = free_ports(2)
-    discovery = Discovery(case.record)
+    discovery = CrowdedDiscovery(case.record)
     await discovery.server.start()
-    for number in range(9):
-        worker = Worker(f"w{number}", case.record, (LOOPBACK, listen), JOB_S)
+    fleet = Fleet(case, (LOOPBACK, listen))
+    for worker in fleet.workers:
         await worker.server.start()
         discovery.entries[worker.name] = worker.entry()
-    render = {"name": "render", "aim": 0.25, "hardLimit": 7.5, "semantics": "retryable"}
-    config = base_config(listen, discovery.server.address, mgmt, [render])
-    config["limits"] |= {"memory_mb": MEMORY_MB, "sockets": SOCKETS}
-    config["settings"]["familyInfo"]["classStretch"] = [2.0]
+    publish = {
+        "name": "publish",
+        "aim": 0.6,
+        "hardLimit": 25.0,
+        "semantics": "dedup",
+        "group": "cell",
+        "dedupWindow": WINDOW_S,
+    }
+    config = base_config(listen, discovery.server.address, mgmt, [publish])
+    config["settings"]["familyInfo"] |= {"classStretch": [2.5], "progress": 0}
     dispatcher = case.dispatcher(config)
     await dispatcher.start()
     await dispatcher.wait_up()
     client = Client(case.record, dispatcher.address)
-    usual = case.beside(traffic(case, client, TRAFFIC_S))
-    waits: list[float] = []
-    await asyncio.sleep(CROWD_FROM_S)
+    await asyncio.sleep(5.0)
+    began_at = case.record.now()
     if case.trouble:
-        for number in range(CROWD):
-            case.beside(stop_in_the_middle(case, client, number, waits))
-    outcomes = await usual
-    # A connection that the dispatcher ends unread excuses its request: it has failed and is not lost.
-    late_s = JOB_TIMEOUT_MS / 1000 + ANSWER_SLACK_S
-    lost = [o for o in outcomes if o.ended_at - o.sent_at > late_s]
-    answers = Counter("none" if o.status is None else str(o.status) for o in outcomes)
-    case.say(f"{len(outcomes)} requests of usual clients, answers {dict(answers)}")
-    case.say(f"{len(lost)} of them had neither an answer nor a close {late_s:.2f} s after they were sent")
-    if waits:
-        late = sum(wait > OWED_S for wait in waits)
-        ended = f"{len(waits)} bad clients were ended, {late} of them later than {OWED_S:.0f} s"
-        case.say(f"{ended}, {max(waits):.1f} s at most")
-    return bool(lost)
+        discovery.crowded_from, discovery.crowded_until = began_at, began_at + CROWD_S
+    discovery.change({**fleet.workers[0].entry(), "weight": 1.5})
+    fleet.killed_at = began_at + LOST_AFTER_S
+    await asyncio.sleep(SENT_AFTER_S)
+    headers = {"Idempotency-Key": "5c0f6e1a2b3d4c59a8b7c6d5e4f30211", "X-Cost": str(int(JOB_S * 1e6))}
+    outcome = await client.send("/publish", "9b1f03aa5c7e2d41", JOB_TIMEOUT_MS, headers, b"work")
+    after_s = [at - fleet.sent[0][0] for at, _ in fleet.sent]
+    cells = {cell for _, cell in fleet.sent}
+    case.say(f"the client was answered {outcome.status}; attempts after {[round(s, 2) for s in after_s]} s")
+    case.say(
+        f"cells {sorted(cells)}; applied {len(fleet.applied)} times; a repeat is dropped for {WINDOW_S} s"
+    )
+    return len(fleet.applied) > 1 and (after_s[-1] > WINDOW_S + SLACK_S or len(cells) > 1)
 
 
 run_case(__file__, play)
