--- a/review/1/case.py
+++ b/review/1/case.py
@@ -130,7 +130,9 @@
     taken = [
         o for o in lost if any(run.request_id == o.request_id for worker in workers for run in worker.runs)
     ]
-    killed = memory.done()
+    killed = memory.done()  # the process has ended; nothing but the platform or itself ends it here
+    if killed:
+        case.say(f"the dispatcher has ended; it had {memory.result():.0f} MB at most")
     case.say(f"{len(outcomes)} jobs of usual clients, {len(lost)} of them without an answer")
     case.say(f"{len(taken)} of these were in work at a worker when the dispatcher ended")
     if not killed:
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -20,7 +20,8 @@
 )
 
 WINDOW_S = 5.0  # settings: requestClasses[].dedupWindow
-SLACK_S = 0.05  # PROTOCOL: "every time limit is longer by 50 ms"
+# PROTOCOL: "every time limit is longer by 50 ms"; STANDING: a hold-up of 0.15 s is allowed for.
+SLACK_S = 0.05 + 0.15
 JOB_S = 3.0  # BRIEF: a `publish` runs for 1,600 to 3,000 ms on average
 JOB_TIMEOUT_MS = 20000
 CROWD_S = 12.0
--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -3,6 +3,8 @@
 cd "$(dirname "$0")/../.." || exit 2
 [ -x .venv/bin/python ] || exit 2
 PYTHONPATH=review timeout -k 5 110 .venv/bin/python review/2/case.py
-status=$?
-[ "$status" -le 1 ] || status=2
-exit "$status"
+case $? in
+0) exit 0 ;;
+11) exit 1 ;;
+*) exit 2 ;;
+esac
