Nothing is kept of a peer's bytes past a bound, and heads count against memory

Cause: a bound only set an error. `Connection._parse` went on feeding the parser, `on_header` went on filling the message, and `RequestRouter._wait_for_answer` went on reading for as long as the job was in work. The same held in `linger`, for trailers, and for messages sent ahead; a body was counted in bytes and kept as one object a chunk.

--- a/beaconhinge/net/listener.py
+++ b/beaconhinge/net/listener.py
@@ -229,7 +229,7 @@
                 sock,
                 requests=True,
                 on_close=self.budget.release,
-                reserve_bytes=self.budget.reserve_body_bytes,
+                reserve_bytes=self.budget.reserve_message_bytes,
                 now=self.timers.now,
             )
         )
--- a/beaconhinge/net/sockets.py
+++ b/beaconhinge/net/sockets.py
@@ -22,7 +22,7 @@
 
 
 class DescriptorBudget:
-    """Limits the sockets of this process and the memory for message bodies.
+    """Limits the sockets of this process and the memory for the messages of clients and call-backs.
 
     When no socket is left, idle connections are closed first, by the reclaimers of the parts that own them.
 
@@ -30,28 +30,28 @@
         total: The number of sockets that this process may have.
         used: The number of sockets that this process has.
         share: The fraction, up to 1, of the dispatcher's sockets and memory that this process may use.
-        free_body_bytes: The bytes left for message bodies.
+        free_message_bytes: The bytes left for messages.
         reclaimers: Each closes one idle connection and returns whether it had one.
     """
 
-    def __init__(self, sockets: int, body_bytes: int, reserved: int = 0) -> None:
+    def __init__(self, sockets: int, message_bytes: int, reserved: int = 0) -> None:
         self._max_sockets = self.total = sockets - RESERVED_DESCRIPTORS - reserved
-        self._max_body_bytes = body_bytes
+        self._max_message_bytes = message_bytes
         self.share = 1.0
         self.used = 0
-        self.free_body_bytes = body_bytes
+        self.free_message_bytes = message_bytes
         self.reclaimers: list[Callable[[], bool]] = []
         self._released = asyncio.Event()
 
-    def reserve_body_bytes(self, count: int) -> bool:
-        """Reserve bytes for message bodies; a negative count releases them.
+    def reserve_message_bytes(self, count: int) -> bool:
+        """Reserve bytes of memory for messages; a negative count releases them.
 
         Returns:
             Whether enough bytes were left.
         """
-        if count > self.free_body_bytes:
+        if count > self.free_message_bytes:
             return False
-        self.free_body_bytes -= count
+        self.free_message_bytes -= count
         return True
 
     def set_share(self, share: float) -> None:
@@ -60,7 +60,9 @@
         The rest belongs to the other process of this dispatcher. Sockets and bytes that are in use beyond the
         new limit stay in use.
         """
-        self.free_body_bytes += int(share * self._max_body_bytes) - int(self.share * self._max_body_bytes)
+        self.free_message_bytes += int(share * self._max_message_bytes) - int(
+            self.share * self._max_message_bytes
+        )
         self.share, self.total = share, int(share * self._max_sockets)
 
     def acquire(self) -> bool:
--- a/beaconhinge/net/worker_pool.py
+++ b/beaconhinge/net/worker_pool.py
@@ -26,6 +26,7 @@
 REUSE_REDUCTION = 0.7  # a reused connection that breaks reduces the limit to this share of its idle time
 REUSE_GROWTH = 1.02  # a reused connection that works raises the limit by this factor
 EXCHANGE_TIMEOUT_S = 0.5  # for a probe or a withdrawal
+MAX_KEPT_ANSWER_BYTES = 8 * 1024  # of a worker's answer: a load report, or the text of an error
 
 
 class _Worker:
@@ -228,7 +229,12 @@
             self.budget.release()
             raise
         self.metrics.count("worker_connections")
-        return Connection(sock, requests=False, on_close=self.budget.release)
+        return Connection(
+            sock,
+            requests=False,
+            on_close=self.budget.release,
+            max_kept_body_bytes=MAX_KEPT_ANSWER_BYTES,
+        )
 
     def record_reuse(self, idle_for_s: float, usable: bool) -> None:
         """Adapt `reuse_within_s` to whether a connection was still usable after `idle_for_s` seconds idle.
--- a/tests/net/test_sockets.py
+++ b/tests/net/test_sockets.py
@@ -19,7 +19,7 @@
     budget.reclaimers.append(reclaim)
     assert [budget.acquire() for _ in range(5)] == [True, True, True, True, False]
     assert idle == []
-    assert [budget.reserve_body_bytes(count) for count in (60, 50, -60, 100, 1)] == [
+    assert [budget.reserve_message_bytes(count) for count in (60, 50, -60, 100, 1)] == [
         True,
         False,
         True,
