Bytes past a bound are dropped slowly once a peer has sent 8 MiB of them

Cause: with 1 MiB every 5 ms a peer that sends at full speed was never held up. Change: after 8 MiB a burst is 8 reads, some 25 MB/s. A close behind up to 8 MiB is noticed as before.

--- a/beaconhinge/net/http1.py
+++ b/beaconhinge/net/http1.py
@@ -26,10 +26,12 @@
 MAX_READS_BEFORE_CLOSE = 128  # reads of bytes that have already arrived, before a connection is closed
 READ_BYTES = 16 * 1024  # buffer size of a connection once a read has filled its first buffer
 FIRST_READ_BYTES = 2 * 1024  # size of a connection's first buffer; most connections need no larger one
-# Pause before bytes are dropped, and the most reads after it: a close behind all bytes that wait in buffers
-# must be noticed within 0.1 s.
+# Pause before bytes are dropped. The reads after it are many at first, as a close behind bytes that wait in
+# buffers must be noticed within 0.1 s, and few for a peer that goes on sending.
 DROP_INTERVAL_S = 0.005
-MAX_READS_PER_DROP = 64
+MAX_FAST_DROP_BYTES = 8 * 1024 * 1024
+FAST_DROP_READS = 64
+SLOW_DROP_READS = 8
 
 
 class Closed(Exception):  # noqa: N818
@@ -77,6 +79,7 @@
         self._parser = MessageParser(
             requests, max_body_bytes, max_kept_body_bytes, reserve_bytes, body_sink, self._arrival_time
         )
+        self._dropped_bytes = 0  # read after the parser began to drop
         self._reading: asyncio.Task[bool] | None = None
 
     # ---- what was received ---------------------------------------------------------------------------------
@@ -179,10 +182,12 @@
         await asyncio.sleep(DROP_INTERVAL_S)
         await sockets.readable(self.sock)
         with contextlib.suppress(BlockingIOError):
-            for _ in range(MAX_READS_PER_DROP):
+            fast = self._dropped_bytes < MAX_FAST_DROP_BYTES
+            for _ in range(FAST_DROP_READS if fast else SLOW_DROP_READS):
                 count = self.sock.recv_into(self._buffer)
                 if count == 0:
                     return False
+                self._dropped_bytes += count
                 self._grow_buffer(count)
         return True
 
