A dispatcher that sends no gossip keeps none for sending

Cause: GossipNode.record and send_report add to what only flush_gossip empties, and that is not called where nothing is sent. Change: the node knows whether it sends, and keeps nothing if not. Decisions are as before (tests/golden/test_simulator.py).

--- a/beaconhinge/gossip/aggregation.py
+++ b/beaconhinge/gossip/aggregation.py
@@ -83,10 +83,16 @@
         broadcast_targets: The receivers of a message to the whole group; -1 is every dispatcher.
         sends_directly: Whether the group is small enough to work without an aggregator.
         aggregator: The number of the group's aggregator; None if none is known.
+        sends_messages: Whether messages are sent at all. Otherwise nothing is kept for them.
     """
 
     def __init__(
-        self, fleet_size: int, own_number: int, incarnation: int, min_report_interval_s: float
+        self,
+        fleet_size: int,
+        own_number: int,
+        incarnation: int,
+        min_report_interval_s: float,
+        may_send: bool = True,
     ) -> None:
         self.fleet_size = fleet_size
         self.own_number = own_number
@@ -98,6 +104,7 @@
         members = layout.members(own_group)
         self.rank = members.index(own_number)
         self.group_peers = [number for number in members if number != own_number]
+        self.sends_messages = may_send and bool(self.group_peers)
         self.broadcast_targets = [-1] if self.group_count == 1 else self.group_peers
         self.peer_weight = (fleet_size - 1) / max(1, len(self.group_peers))
         self.remote_groups = {
@@ -189,6 +196,8 @@
         change = slots if kind == codec.DeltaKind.SENT else -slots
         self.sends += max(change, 0)
         self.in_flight_table.adjust(key, change)
+        if not self.sends_messages:
+            return
         if self.is_aggregator:
             self.in_flight_table.record(key, kind)
         else:
@@ -211,7 +220,8 @@
             return 0
         report.incarnation, report.sequence = self.incarnation, self._next_sequence()
         payload = codec.encode_report(report)
-        self.outbox += [(number, payload) for number in (self.broadcast_targets if to < 0 else [to])]
+        if self.sends_messages:
+            self.outbox += [(number, payload) for number in (self.broadcast_targets if to < 0 else [to])]
         return len(payload) * len(self.group_peers)
 
     def advance(self, now: float) -> None:
--- a/beaconhinge/policy/dispatcher.py
+++ b/beaconhinge/policy/dispatcher.py
@@ -53,7 +53,11 @@
         self.context = context = Context(settings, random.Random(seed))
         incarnation = context.random.getrandbits(8)
         self.gossip = gossip = GossipNode(
-            settings.group_size, settings.own_number, incarnation, REPORT_INTERVAL_S
+            settings.group_size,
+            settings.own_number,
+            incarnation,
+            REPORT_INTERVAL_S,
+            may_send=settings.peer_messages,
         )
         self.worker_table = workers = WorkerTable()
         self.requests = requests = RequestTable(context)
@@ -100,7 +104,7 @@
         self.context.now, self.context.actions = now, actions
         if type(event) in self.HANDLERS:
             self.HANDLERS[type(event)](self, event)
-        if self.settings.peer_messages and self.gossip.group_peers:
+        if self.gossip.sends_messages:
             self.reports.flush_gossip()
         return actions
 
