A repeat is written within its window and in its group, whatever it waited for

Cause: window and group were checked when the policy chose the worker. The guard, which is asked again after each wait, was told neither, so it could not refuse. The allowance of the time to connect in `may_run_on` covered one of the waits.

Change: SendAttempt tells until when a repeat may be written, each attempt keeps the list entry that it was written to, and the guard refuses `repeat_late` (0.15 s before the end of the window, the longest hold-up) and `other_group`. A wait for the list ends with the window, so the client is answered then. The policy takes the cell of the first attempt as of its send. The send monitor checks window and group from written attempts and raw lists, with no code of the guard.

--- a/beaconhinge/dispatch/attempt.py
+++ b/beaconhinge/dispatch/attempt.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from typing import Protocol, TypeAlias
 
-from ..policy.interface import AttemptOutcome
+from ..policy.interface import PROVEN_UNRUN, AttemptOutcome, MemberEntry
 from ..runtime.timer_wheel import Timer
 from .job import Job
 
@@ -45,6 +45,8 @@
     """Number of attempts in flight at any worker."""
     may_have_run: bool
     """Whether an attempt that has ended may have run the job."""
+    first_possible_run: MemberEntry | None
+    """The worker's list entry when the first attempt was written that may have run or may yet; or None."""
 
 
 class Attempt:
@@ -55,8 +57,10 @@
         worker: Number of the worker.
         sent_at: Time at which the attempt was started, in seconds.
         expires_at: Time at which the attempt times out, in seconds.
-        open: Whether the attempt has no outcome yet.
-        may_be_written: Whether the first byte may have been written.
+        repeat_until: Time from which on the attempt must not be written if another one may have run, in
+            seconds.
+        outcome: How the attempt ended; None while it is open.
+        written_to: The worker's list entry when the first byte was written; None before that.
         on_end: Called once with the outcome; set by the transport.
         timer: Ends the attempt at `expires_at`.
     """
@@ -68,6 +72,7 @@
         worker: int,
         sent_at: float,
         expires_at: float,
+        repeat_until: float,
         post_event: Callable[[AttemptEvent], None],
         client_is_waiting: Callable[[], bool],
         siblings_of: Callable[[Attempt], SiblingAttempts],
@@ -78,14 +83,25 @@
         self.worker = worker
         self.sent_at = sent_at
         self.expires_at = expires_at
-        self.open = True
-        self.may_be_written = False
+        self.repeat_until = repeat_until
+        self.outcome: AttemptOutcome | None = None
+        self.written_to: MemberEntry | None = None
         self.on_end: Callable[[AttemptOutcome], None] = _ignore_end
         self.timer: Timer | None = None
         self._post_event = post_event
         self._client_is_waiting = client_is_waiting
         self._siblings_of = siblings_of
 
+    @property
+    def open(self) -> bool:
+        """Whether the attempt has no outcome yet."""
+        return self.outcome is None
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether the attempt has ended and may have run the job."""
+        return self.outcome is not None and self.outcome not in PROVEN_UNRUN
+
     def client_is_waiting(self) -> bool:
         """Return whether the client still waits for an answer, as far as can be seen at this moment.
 
@@ -109,7 +125,7 @@
             load: The load report that came with the outcome, if any.
         """
         if self.open:
-            self.open = False
+            self.outcome = outcome
             if self.timer is not None:
                 self.timer.cancel()
             self.on_end(outcome)
--- a/beaconhinge/dispatch/invariants.py
+++ b/beaconhinge/dispatch/invariants.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import enum
+import math
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from typing import Any
@@ -22,23 +23,67 @@
 DEPARTED_WORKERS_KEPT = 4096
 
 
+# Maximum number of workers whose place is remembered; the oldest are dropped.
+PLACES_KEPT = 8192
+
+
 class InvariantRule(enum.Enum):
     """The invariants that are checked. The values are the names that operators see."""
 
     DRAIN = "drain"  # an attempt was sent to a departed worker after the grace period
     CLIENT_GONE = "lost"  # an attempt was started for a disconnected client or a finished request
-    DUPLICATE = "duplicate"  # a second attempt at the same worker, or of a job that must not run twice
+    DUPLICATE = "duplicate"  # a second attempt at the same worker, or of a job that could run a second time
     DEADLINE = "deadline"  # the timeout announced to a worker exceeded the remaining time
 
 
+class RepeatsAllowed(enum.Enum):
+    """Where a job that may have run may be sent again."""
+
+    ALWAYS = "always"  # anywhere, at any time
+    NEVER = "never"
+    EVERYWHERE = "all"  # anywhere, within the window
+    SAME_ZONE = "zone"  # within the window, to workers of the zone in which it may have run first
+    SAME_CELL = "cell"  # the same, of the cell
+
+
+@dataclass(frozen=True, slots=True)
+class RepeatRule:
+    """Where and for how long after its first possible run a job may be sent again.
+
+    Attributes:
+        allowed: Where.
+        window_s: How many seconds after the write of the first attempt that may have run.
+    """
+
+    allowed: RepeatsAllowed
+    window_s: float = math.inf
+
+
+@dataclass(frozen=True, slots=True)
+class _Place:
+    """Cell and zone of a worker, as a list gave them."""
+
+    cell: object
+    zone: object
+
+
+@dataclass(slots=True)
+class _MonitoredAttempt:
+    """An attempt that was written."""
+
+    worker: str
+    written_s: float
+    place: _Place | None  # None if no list has shown it
+    in_flight: bool = True
+
+
 @dataclass(slots=True)
 class _MonitoredRequest:
     """State of a request in progress."""
 
     deadline_s: float
-    must_not_run_twice: bool
-    workers_in_flight: set[str] = field(default_factory=set)  # ids of the workers that have an open attempt
-    may_have_run: bool = False  # whether an attempt that has ended may have run the job
+    rule: RepeatRule
+    possible_runs: list[_MonitoredAttempt] = field(default_factory=list)  # written, and not known as unrun
     client_gone_s: float | None = None  # time of the client's disconnect
 
 
@@ -54,6 +99,7 @@
         self._on_violation = on_violation
         self._requests: dict[str, _MonitoredRequest] = {}
         self._ready_worker_ids: set[str] = set()
+        self._places: dict[str, _Place] = {}  # by worker's id, the latest last
         self._departed_s: dict[str, float] = {}  # time at which a worker's departure was announced, by its id
 
     def list_received(self, content: Mapping[str, Any], now: float) -> None:
@@ -62,6 +108,7 @@
         A worker departs when its state is `Terminating` or `Gone`, or when a full list in which every entry
         has a distinct id no longer names it. The time of its first announced departure counts.
         """
+        self._record_places(content)
         states = {
             entry["id"]: entry.get("state")
             for entry in content.get("servers", ())
@@ -77,15 +124,24 @@
             for worker in self._ready_worker_ids - states.keys():
                 self._mark_departed(worker, now)
 
+    def _record_places(self, content: Mapping[str, Any]) -> None:
+        for entry in content.get("servers", ()):
+            # An entry without an address may be cut short, or name a worker that leaves.
+            if isinstance(entry, Mapping) and isinstance(entry.get("id"), str) and "addr" in entry:
+                self._places.pop(entry["id"], None)
+                self._places[entry["id"]] = _Place(entry.get("cell", 0), entry.get("zone"))
+        while len(self._places) > PLACES_KEPT:
+            self._places.pop(next(iter(self._places)))
+
     def _mark_departed(self, worker: str, now: float) -> None:
         self._ready_worker_ids.discard(worker)
         self._departed_s.setdefault(worker, now)
         if len(self._departed_s) > DEPARTED_WORKERS_KEPT:
             self._departed_s.pop(next(iter(self._departed_s)))
 
-    def request_started(self, request: str, deadline: float, must_not_run_twice: bool) -> None:
-        """Record a request from its start, with its deadline in seconds."""
-        self._requests[request] = _MonitoredRequest(deadline, must_not_run_twice)
+    def request_started(self, request: str, deadline: float, rule: RepeatRule) -> None:
+        """Record a request from its start, with its deadline in seconds and the rule of its class."""
+        self._requests[request] = _MonitoredRequest(deadline, rule)
 
     def request_finished(self, request: str) -> None:
         """Record that no further attempt of the request may be started."""
@@ -120,15 +176,14 @@
             self._on_violation(
                 InvariantRule.CLIENT_GONE, request, worker, f"the client left {now - gone_s:.2f} s ago"
             )
-        if worker in monitored.workers_in_flight:
-            self._on_violation(InvariantRule.DUPLICATE, request, worker, "the worker has an open attempt")
-        elif monitored.must_not_run_twice and (monitored.workers_in_flight or monitored.may_have_run):
-            self._on_violation(InvariantRule.DUPLICATE, request, worker, "the job must not run twice")
+        attempt = _MonitoredAttempt(worker, now, self._places.get(worker))
+        if (why := _duplicate(monitored, attempt)) is not None:
+            self._on_violation(InvariantRule.DUPLICATE, request, worker, why)
         left_s = monitored.deadline_s - now
         if announced_timeout_ms / 1000 > left_s + DEADLINE_SLACK_S:
             why = f"{announced_timeout_ms} ms announced, {left_s:.3f} s left"
             self._on_violation(InvariantRule.DEADLINE, request, worker, why)
-        monitored.workers_in_flight.add(worker)
+        monitored.possible_runs.append(attempt)
 
     def attempt_ended(self, request: str, worker: str, never_ran: bool) -> None:
         """Record that an attempt has ended or has been abandoned.
@@ -139,6 +194,32 @@
             never_ran: Whether it is certain that the worker never ran the job.
         """
         monitored = self._requests.get(request)
-        if monitored is not None and worker in monitored.workers_in_flight:
-            monitored.workers_in_flight.discard(worker)
-            monitored.may_have_run |= not never_ran
+        if monitored is None:
+            return
+        for attempt in list(monitored.possible_runs):
+            if attempt.worker == worker and attempt.in_flight:
+                attempt.in_flight = False
+                if never_ran:
+                    monitored.possible_runs.remove(attempt)
+
+
+def _duplicate(monitored: _MonitoredRequest, attempt: _MonitoredAttempt) -> str | None:
+    """Return why an attempt may run a job a second time; None if it may not, or that is allowed."""
+    runs, rule = monitored.possible_runs, monitored.rule
+    if any(run.worker == attempt.worker and run.in_flight for run in runs):
+        return "the worker has an open attempt"
+    if not runs or rule.allowed is RepeatsAllowed.ALWAYS:
+        return None
+    if rule.allowed is RepeatsAllowed.NEVER:
+        return "the job must not run twice"
+    first = runs[0]
+    late_s = attempt.written_s - first.written_s - rule.window_s
+    if late_s > 0:
+        return f"the window for repeats ended {late_s:.3f} s ago"
+    if first.place is None or attempt.place is None:
+        return None
+    if rule.allowed is RepeatsAllowed.SAME_CELL and attempt.place.cell != first.place.cell:
+        return f"cell {attempt.place.cell}, and it may have run in cell {first.place.cell}"
+    if rule.allowed is RepeatsAllowed.SAME_ZONE and attempt.place.zone != first.place.zone:
+        return f"zone {attempt.place.zone}, and it may have run in zone {first.place.zone}"
+    return None
--- a/beaconhinge/dispatch/request.py
+++ b/beaconhinge/dispatch/request.py
@@ -9,10 +9,11 @@
 
 from ..management import figures
 from ..policy import interface
-from ..policy.interface import PROVEN_UNRUN, RETRY_FLAG, AttemptOutcome, NoticeKind, Semantics
+from ..policy.interface import RETRY_FLAG, AttemptOutcome, NoticeKind, Semantics
 from ..runtime.metrics import Metrics
 from ..runtime.timer_wheel import TimerWheel
 from .attempt import Attempt, AttemptFinished, AttemptProgress, AttemptTransport, SiblingAttempts
+from .invariants import RepeatRule, RepeatsAllowed
 from .job import Answer, IdempotencyKeys, Job, KeyStatus, RequestEnd
 from .policy_runner import PolicyRunner
 
@@ -23,6 +24,8 @@
     RequestEnd.FAILED: figures.FAILURE,
 }
 
+REPEATS_BY_GROUP = {"all": RepeatsAllowed.EVERYWHERE, "cell": RepeatsAllowed.SAME_CELL}
+
 # An answer later than this after its deadline counts as late.
 LATE_ANSWER_S = 0.1
 
@@ -87,6 +90,16 @@
     return False
 
 
+def _repeat_rule(request_class: interface.RequestClass) -> RepeatRule:
+    """Return what the send monitor checks of repeats of this class."""
+    if request_class.semantics == Semantics.UNSAFE:
+        return RepeatRule(RepeatsAllowed.NEVER)
+    if request_class.semantics == Semantics.DEDUPLICATED:
+        allowed = REPEATS_BY_GROUP.get(request_class.dedup_group, RepeatsAllowed.SAME_ZONE)
+        return RepeatRule(allowed, request_class.dedup_window_s)
+    return RepeatRule(RepeatsAllowed.ALWAYS)
+
+
 class RequestTable:
     """All requests that have no answer yet or have open attempts.
 
@@ -183,7 +196,6 @@
         self.answer: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
         self._steps: asyncio.Queue[Step] = asyncio.Queue()
         self._attempts: list[Attempt] = []
-        self._may_have_run = False
         self._has_client_left = has_client_left
         self._client_left = False
 
@@ -204,8 +216,8 @@
         """Process the request until it is answered and its last attempt has ended."""
         table, job = self.table, self.job
         table.policy_runner.request_handlers[self.number] = self._steps.put_nowait
-        unsafe = table.settings.classes[job.class_index].semantics == Semantics.UNSAFE
-        table.policy_runner.monitor.request_started(job.id, job.deadline, unsafe)
+        rule = _repeat_rule(table.settings.classes[job.class_index])
+        table.policy_runner.monitor.request_started(job.id, job.deadline, rule)
         overdue_at = job.deadline + table.settings.answer_grace_s / 2
         overdue_timer = table.timers.at(overdue_at, lambda: self._steps.put_nowait(Overdue()))
         key = KeyStatus()
@@ -274,7 +286,7 @@
     def _leave_table(self, key: KeyStatus) -> None:
         if key.registered and self.table.keys is not None:
             answer = self.answer.result()
-            may_have_run = self._may_have_run or any(a.open for a in self._attempts)
+            may_have_run = any(a.open or a.may_have_run for a in self._attempts)
             result = answer.body if answer.end is RequestEnd.SERVED else None
             self.table.keys.release(self.job, may_have_run, result)
         self.table.policy_runner.request_handlers.pop(self.number, None)
@@ -306,6 +318,7 @@
             action.worker,
             now,
             expires_at,
+            action.repeat_until,
             self._steps.put_nowait,
             self.client_is_waiting,
             self._siblings_of,
@@ -324,11 +337,15 @@
         self.table.transport.start(attempt)
 
     def _siblings_of(self, attempt: Attempt) -> SiblingAttempts:
-        in_flight = [
-            other for other in self._attempts if other is not attempt and other.open and other.may_be_written
-        ]
+        others = [other for other in self._attempts if other is not attempt]
+        written = [other for other in others if other.written_to is not None]
+        in_flight = [other for other in written if other.open]
+        possible_runs = [other.written_to for other in written if other.open or other.may_have_run]
         return SiblingAttempts(
-            sum(other.worker == attempt.worker for other in in_flight), len(in_flight), self._may_have_run
+            at_worker=sum(other.worker == attempt.worker for other in in_flight),
+            in_flight=len(in_flight),
+            may_have_run=any(other.may_have_run for other in others),
+            first_possible_run=next(iter(possible_runs), None),
         )
 
     def _on_admitted(self) -> None:
@@ -381,7 +398,6 @@
 
     def _on_attempt_finished(self, step: AttemptFinished) -> None:
         attempt = step.attempt
-        self._may_have_run = self._may_have_run or step.outcome not in PROVEN_UNRUN
         if self.observer is not None and step.outcome != AttemptOutcome.SERVED:
             self.observer.lost(attempt.number)
         self.table.metrics.count("outcome_" + step.outcome)
@@ -415,7 +431,7 @@
         self.answer.set_result(answer)
         self.job.body = b""  # open attempts hold their own reference to the body
         for attempt in self._attempts:
-            if not attempt.may_be_written:  # it still waits for a connection, and is no longer needed
+            if attempt.written_to is None:  # it still waits for a connection, and is no longer needed
                 attempt.end(AttemptOutcome.NOT_SENT)
         self.table.metrics.count("answer_" + answer.end)
         late_s = self.table.timers.now() - self.job.deadline
--- a/beaconhinge/dispatch/send_guard.py
+++ b/beaconhinge/dispatch/send_guard.py
@@ -30,6 +30,10 @@
     UNSAFE_REPEAT = (
         "unsafe_repeat"  # another attempt may have run, or may yet run, and the class is not idempotent
     )
+    REPEAT_TOO_LATE = "repeat_late"  # another attempt may have run, and the window for repeats is over
+    OTHER_GROUP = (
+        "other_group"  # another attempt may have run in a group with which this worker shares no keys
+    )
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,6 +53,10 @@
         other_attempts_in_flight: Number of the request's other attempts in flight at any worker.
         may_have_run: Whether an attempt of the request that has ended may have run.
         must_not_run_twice: Whether the request's class is not idempotent.
+        repeat_time_left_s: Seconds for which the request may still be repeated, with the longest hold-up
+            allowed for; infinite if no other attempt may have run, or repeats are allowed at any time.
+        same_deduplication_group: Whether the worker drops a repeat of what another attempt may have run; True
+            if that does not matter.
     """
 
     list_usable: bool
@@ -63,6 +71,8 @@
     other_attempts_in_flight: int
     may_have_run: bool
     must_not_run_twice: bool
+    repeat_time_left_s: float
+    same_deduplication_group: bool
 
 
 def find_send_refusal(state: SendState) -> SendRefusal | None:
@@ -77,6 +87,8 @@
         return SendRefusal.CLIENT_GONE
     if state.time_left_s <= 0:
         return SendRefusal.DEADLINE_PASSED
+    if state.repeat_time_left_s <= 0:
+        return SendRefusal.REPEAT_TOO_LATE
     return None
 
 
@@ -99,4 +111,6 @@
         return SendRefusal.ATTEMPT_IN_FLIGHT
     if state.must_not_run_twice and (state.other_attempts_in_flight or state.may_have_run):
         return SendRefusal.UNSAFE_REPEAT
+    if not state.same_deduplication_group:
+        return SendRefusal.OTHER_GROUP
     return None
--- a/beaconhinge/net/attempts.py
+++ b/beaconhinge/net/attempts.py
@@ -7,6 +7,9 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import math
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from ..config import Config
@@ -15,7 +18,7 @@
 from ..dispatch.send_guard import SendRefusal, SendState, find_send_refusal
 from ..management.figures import BACKEND_CALLS
 from ..membership.inventory import WorkerEndpoint
-from ..policy.interface import PROVEN_UNRUN, AttemptOutcome, Semantics
+from ..policy.interface import MAX_HOLD_UP_S, PROVEN_UNRUN, AttemptOutcome, Semantics
 from ..runtime.metrics import Metrics
 from ..runtime.timer_wheel import TimerWheel
 from . import http1
@@ -50,6 +53,21 @@
     return http1.request("POST", job.target, headers, sent.body)
 
 
+@dataclass(frozen=True, slots=True)
+class _EncodedRequest:
+    """The bytes of a request to a worker.
+
+    Attributes:
+        data: The bytes.
+        announced_timeout_ms: The timeout that they announce to the worker, in milliseconds.
+        encoded_at: When they were ready, in seconds.
+    """
+
+    data: bytes
+    announced_timeout_ms: int
+    encoded_at: float
+
+
 class SentAttempt:
     """An open attempt, while it is connected, sent and answered.
 
@@ -122,7 +140,7 @@
         abandoned = outcome in (AttemptOutcome.CANCELLED, AttemptOutcome.TIMEOUT)
         if task is not None and not sent.accepted:
             # A result may arrive before its 202: the connection waits LATE_ANSWER_TIMEOUT_S for the 202.
-            if abandoned or not attempt.may_be_written:
+            if abandoned or attempt.written_to is None:
                 task.cancel()
             else:
                 self.timers.after(LATE_ANSWER_TIMEOUT_S, task.cancel)
@@ -141,13 +159,14 @@
                 self._refuse(sent, why)
                 return
             connection = await self.pool.connection(sent.host)
-            if (why := await self._refusal_once_list_usable(sent)) is not None:
-                self._refuse(sent, why)
+            data = await self._encode_once_allowed(sent)
+            if isinstance(data, SendRefusal):
+                self._refuse(sent, data)
                 self.pool.put_back(sent.host, connection)
                 return
-            attempt.may_be_written = True
+            attempt.written_to = self.pool.workers[attempt.worker].host.member
             idle_for_s = self.timers.now() - connection.used_at if connection.used_at else 0.0
-            await connection.send(self._request_bytes(sent))
+            await connection.send(data)
             written = True
             self.metrics.count(BACKEND_CALLS)
             message = await connection.next()
@@ -173,12 +192,40 @@
         if not sent.accepted:
             self._end_unaccepted(attempt, message)
 
-    def _request_bytes(self, sent: SentAttempt) -> bytes:
-        """Return the bytes of the job's request; they must be written in the same turn of the event loop.
+    async def _encode_once_allowed(self, sent: SentAttempt) -> bytes | SendRefusal:
+        """Return the bytes of the job's request, or why it may not be sent.
+
+        The bytes must be written in the turn of the event loop in which this returns.
+        """
+        request: _EncodedRequest | SendRefusal = SendRefusal.LIST_UNKNOWN
+        while request is SendRefusal.LIST_UNKNOWN:
+            if (why := await self._refusal_once_list_usable(sent)) is not None:
+                return why
+            request = self._encode_if_allowed(sent)
+        if isinstance(request, SendRefusal):
+            return request
+        self._record_send(sent, request)
+        return request.data
+
+    def _encode_if_allowed(self, sent: SentAttempt) -> _EncodedRequest | SendRefusal:
+        """Ask the guard and encode the job's request, both again if the process was paused meanwhile.
 
-        The request is encoded again if the process was paused meanwhile: otherwise the timeout announced to
-        the worker would include time that has already passed.
+        Otherwise the answer of the guard would be out of date, and the timeout announced to the worker would
+        include time that has already passed.
         """
+        for _ in range(MAX_ENCODINGS):
+            started_at = self.timers.now()
+            if (why := self._refusal(sent)) is not None:
+                return why
+            remaining_ms = max(int((sent.attempt.expires_at - self.timers.now()) * 1000), 1)
+            data = _encode_job(sent, remaining_ms)
+            now = self.timers.now()
+            if now - started_at < MAX_ENCODING_S:
+                break
+        return _EncodedRequest(data, remaining_ms, now)
+
+    def _record_send(self, sent: SentAttempt, request: _EncodedRequest) -> None:
+        """Trace a send, and have it checked by the send monitor."""
         job = sent.attempt.job
         self.metrics.trace(
             "attempts",
@@ -187,48 +234,63 @@
             worker=sent.host.id,
             list_version=self.pool.list_version,
         )
-        for _ in range(MAX_ENCODINGS):
-            encoding_started_at = self.timers.now()
-            remaining_ms = max(int((sent.attempt.expires_at - encoding_started_at) * 1000), 1)
-            data = _encode_job(sent, remaining_ms)
-            now = self.timers.now()
-            if now - encoding_started_at < MAX_ENCODING_S:
-                break
-        self.policy_runner.monitor.attempt_started(job.id, sent.host.id, now, remaining_ms)
-        return data
+        self.policy_runner.monitor.attempt_started(
+            job.id, sent.host.id, request.encoded_at, request.announced_timeout_ms
+        )
 
     async def _refusal_once_list_usable(self, sent: SentAttempt) -> SendRefusal | None:
         """Wait until the list of workers is usable, then return the guard's refusal, or None.
 
-        The result is valid in the turn of the event loop in which this returns.
+        The wait ends early when the window for a repeat does. The result is valid in the turn of the event
+        loop in which this returns.
         """
         why = self._refusal(sent)
         if why is SendRefusal.LIST_UNKNOWN:
             self.metrics.count("sends_waited_for_list")
         while why is SendRefusal.LIST_UNKNOWN:
-            await self.pool.wait_until_list_usable()
+            with contextlib.suppress(TimeoutError):
+                async with self.timers.timeout_at(self._repeat_until(sent.attempt)):
+                    await self.pool.wait_until_list_usable()
             why = self._refusal(sent)
         return why
 
+    def _repeat_until(self, attempt: Attempt) -> float:
+        """Return until when the attempt may be written, as far as its siblings now allow it, in seconds.
+
+        Without a sibling that may have run, that is until it expires.
+        """
+        if attempt.siblings().first_possible_run is None:
+            return attempt.expires_at
+        return min(attempt.repeat_until - MAX_HOLD_UP_S, attempt.expires_at)
+
     def _refusal(self, sent: SentAttempt) -> SendRefusal | None:
         """Return the guard's refusal for this moment, or None; valid for this turn of the event loop only."""
         attempt, siblings = sent.attempt, sent.attempt.siblings()
         worker = self.pool.workers.get(attempt.worker)
+        current_entry = None if worker is None else worker.host.member
+        request_class = self.config.settings.classes[attempt.job.class_index]
+        now = self.timers.now()
+        # Only a class with keys limits repeats by time and place; for others the first run does not matter.
+        deduplicated = request_class.semantics == Semantics.DEDUPLICATED
+        first_run = siblings.first_possible_run if deduplicated else None
         return find_send_refusal(
             SendState(
                 list_usable=self.pool.list_usable(),
                 entry_when_chosen=sent.host.member,
-                current_entry=None if worker is None else worker.host.member,
+                current_entry=current_entry,
                 same_address=worker is not None and worker.host.address == sent.host.address,
                 disabled_by_operator=self.pool.is_in_maintenance(sent.host.id),
                 attempt_open=attempt.open,
                 client_waiting=attempt.client_is_waiting(),
-                time_left_s=attempt.expires_at - self.timers.now(),
+                time_left_s=attempt.expires_at - now,
                 other_attempts_at_worker=siblings.at_worker,
                 other_attempts_in_flight=siblings.in_flight,
                 may_have_run=siblings.may_have_run,
-                must_not_run_twice=self.config.settings.classes[attempt.job.class_index].semantics
-                == Semantics.UNSAFE,
+                must_not_run_twice=request_class.semantics == Semantics.UNSAFE,
+                repeat_time_left_s=attempt.repeat_until - MAX_HOLD_UP_S - now if first_run else math.inf,
+                same_deduplication_group=first_run is None
+                or current_entry is None
+                or request_class.shares_deduplication(first_run, current_entry),
             )
         )
 
--- a/beaconhinge/policy/interface/__init__.py
+++ b/beaconhinge/policy/interface/__init__.py
@@ -46,7 +46,7 @@
     StreamStarted,
     TimerFired,
 )
-from .settings import RequestClass, Settings, Tenant
+from .settings import MAX_HOLD_UP_S, RequestClass, Settings, Tenant
 
 __all__ = [
     "Action",
@@ -61,6 +61,7 @@
     "FetchMembership",
     "JobArrived",
     "LogMessage",
+    "MAX_HOLD_UP_S",
     "MaintenanceMode",
     "MemberEntry",
     "MembershipUpdate",
--- a/beaconhinge/policy/interface/actions.py
+++ b/beaconhinge/policy/interface/actions.py
@@ -1,16 +1,26 @@
 """Actions: what the caller must do after an event."""
 
+import math
 from dataclasses import dataclass
 from typing import TypeAlias
 
 
 @dataclass(slots=True)
 class SendAttempt:
-    """Send the request to a worker. `timeout` is in seconds; 0: as long as the client waits."""
+    """Send the request to a worker.
+
+    Attributes:
+        request: The request's number.
+        worker: The worker's number.
+        timeout: In seconds; 0: as long as the client waits.
+        repeat_until: Time from which on the request must not be written if another attempt of it may have
+            run, in seconds on the dispatcher's clock.
+    """
 
     request: int
     worker: int
     timeout: float = 0.0
+    repeat_until: float = math.inf
 
 
 @dataclass(slots=True)
--- a/beaconhinge/policy/interface/settings.py
+++ b/beaconhinge/policy/interface/settings.py
@@ -4,10 +4,26 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass
+from typing import Protocol
 
 from .enums import Semantics
 from .pair_reader import PairReader
 
+MAX_HOLD_UP_S = 0.15
+"""Longest time for which a process may be held up between reading its clock and writing."""
+
+
+class DeduplicationMember(Protocol):
+    """What has a place in the deduplication groups: a worker, its list entry, or an attempt there."""
+
+    @property
+    def cell(self) -> int:
+        """Number of the cell."""
+
+    @property
+    def zone(self) -> int:
+        """Number of the zone."""
+
 
 @dataclass(slots=True, frozen=True)
 class RequestClass:
@@ -28,6 +44,12 @@
     stream: bool = False
     priority: int = 0
 
+    def shares_deduplication(self, first: DeduplicationMember, other: DeduplicationMember) -> bool:
+        """Return whether a job of this class that ran at the first place is not run again at the other."""
+        if self.dedup_group == "cell":
+            return first.cell == other.cell
+        return self.dedup_group == "all" or first.zone == other.zone
+
 
 @dataclass(slots=True, frozen=True)
 class Tenant:
--- a/beaconhinge/policy/placement.py
+++ b/beaconhinge/policy/placement.py
@@ -66,9 +66,12 @@
             worker.idle_connections.pop()
         self._slow_start.record_send(worker, request)
         in_flight = self._limits.slots_in_flight(worker)
-        request.attempts.append(Attempt(worker, now, in_flight_at_send=in_flight))
+        attempt = Attempt(worker, now, worker.cell, worker.zone, in_flight_at_send=in_flight)
+        request.attempts.append(attempt)
         request.attempts_in_flight += 1
-        self._context.actions.append(interface.SendAttempt(request.id, worker.id))
+        self._context.actions.append(
+            interface.SendAttempt(request.id, worker.id, repeat_until=request.repeat_until)
+        )
 
     def record_sibling_load(self, worker: Worker, slots: float) -> None:
         """Count slots of a worker that another process of this dispatcher has taken or (negative) freed."""
--- a/beaconhinge/policy/request_table.py
+++ b/beaconhinge/policy/request_table.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, field
 
 from . import interface
-from .context import Context
+from .context import INF, Context
 from .interface import Semantics
 from .workers import Worker
 
@@ -14,6 +14,8 @@
 
     worker: Worker
     sent_at: float
+    cell: int  # place of the worker when the attempt was sent; a later list may move the worker
+    zone: int
     in_flight: bool = True
     never_ran: bool = False  # whether it is proven that the job never started
     in_flight_at_send: float = 0.0  # slots in use on the worker, with its own, as known at the send
@@ -49,6 +51,16 @@
         """The first attempt that may have run or may still run, or None."""
         return next((a for a in self.attempts if not a.never_ran), None)
 
+    @property
+    def repeat_until(self) -> float:
+        """Time in seconds from which on a request that may have run must not be written again.
+
+        The window counts from the client's first try, because another dispatcher may have sent the request
+        before this one.
+        """
+        cls = self.request_class
+        return self.first_tried_at + cls.dedup_window_s if cls.semantics == Semantics.DEDUPLICATED else INF
+
     @property
     def harmless_to_repeat(self) -> bool:
         """Whether its client may repeat it, even if it has run."""
--- a/beaconhinge/policy/retries.py
+++ b/beaconhinge/policy/retries.py
@@ -1,5 +1,6 @@
 """Retry policy: which requests may be sent again, to which workers, and until when."""
 
+from . import interface
 from .context import Context
 from .interface import Semantics
 from .request_table import Request
@@ -25,21 +26,23 @@
         cls, first = request.request_class, request.first_possible_run
         if first is None or cls.semantics == Semantics.RETRYABLE:
             return True
-        # The request is written at this time at the latest. The window counts from the first try, because
-        # another dispatcher may have sent the request before this one.
-        written_at = self._context.now + self._context.settings.connect_timeout_s
-        if cls.semantics == Semantics.UNSAFE or written_at >= request.first_tried_at + cls.dedup_window_s:
-            return False
-        if cls.dedup_group == "cell":
-            return worker.cell == first.worker.cell
-        return cls.dedup_group == "all" or worker.zone == first.worker.zone
+        return self._may_repeat(request) and cls.shares_deduplication(first, worker)
 
     def may_retry(self, request: Request) -> bool:
         """Whether class, time and number of attempts allow another attempt after the last one failed."""
         if not self.attempts_left(request) or self._context.now >= self.give_up_at(request):
             return False
-        first = request.first_possible_run
-        return first is None or self.may_run_on(request, first.worker)
+        return request.first_possible_run is None or self._may_repeat(request)
+
+    def _may_repeat(self, request: Request) -> bool:
+        """Whether a request that may have run may be sent again, to a worker of the same group if need be.
+
+        The time to connect is allowed for, so that few attempts are started in vain. An attempt that waits
+        for longer is refused by the sender when its first byte would be written.
+        """
+        semantics, settings = request.request_class.semantics, self._context.settings
+        written_at = self._context.now + max(settings.connect_timeout_s, interface.MAX_HOLD_UP_S)
+        return semantics != Semantics.UNSAFE and written_at < request.repeat_until
 
     def attempts_left(self, request: Request) -> bool:
         """Whether the request has had fewer attempts than the maximum."""
--- a/tests/dispatch/test_invariants.py
+++ b/tests/dispatch/test_invariants.py
@@ -6,17 +6,27 @@
 
 import pytest
 
-from beaconhinge.dispatch.invariants import DEPARTED_WORKERS_KEPT, InvariantRule, SendMonitor
+from beaconhinge.dispatch.invariants import (
+    DEPARTED_WORKERS_KEPT,
+    PLACES_KEPT,
+    InvariantRule,
+    RepeatRule,
+    RepeatsAllowed,
+    SendMonitor,
+)
+
+ALWAYS = RepeatRule(RepeatsAllowed.ALWAYS)
+NEVER = RepeatRule(RepeatsAllowed.NEVER)
 
 
 class History:
     """A request r1, started at 100.0 with 5 s left, and ready workers a and b, listed at 99.0."""
 
-    def __init__(self, unsafe: bool = False) -> None:
+    def __init__(self, rule: RepeatRule = ALWAYS) -> None:
         self.violations: list[InvariantRule] = []
         self.monitor = SendMonitor(lambda rule, _request, _worker, _why: self.violations.append(rule))
         self.monitor.list_received(decoded_list(True, a="Ready", b="Ready"), 99.0)
-        self.monitor.request_started("r1", 105.0, unsafe)
+        self.monitor.request_started("r1", 105.0, rule)
 
 
 def decoded_list(full: bool, **states: str) -> dict[str, Any]:
@@ -85,7 +95,7 @@
 def test_second_attempt_is_checked_for_duplicates(
     unsafe: bool, second: str, ended: bool, never_ran: bool, violations: list[InvariantRule]
 ) -> None:
-    history = History(unsafe)
+    history = History(NEVER if unsafe else ALWAYS)
     history.monitor.attempt_started("r1", "a", 100.0, 5000)
     if ended:
         history.monitor.attempt_ended("r1", "a", never_ran)
@@ -93,6 +103,54 @@
     assert history.violations == violations
 
 
+@pytest.mark.parametrize(
+    ("group", "second", "second_s", "never_ran", "violations"),
+    [
+        (RepeatsAllowed.SAME_CELL, "a2", 101.9, False, []),
+        (RepeatsAllowed.SAME_CELL, "a2", 102.1, False, [InvariantRule.DUPLICATE]),  # after the window
+        (RepeatsAllowed.SAME_CELL, "b", 101.0, False, [InvariantRule.DUPLICATE]),  # another cell
+        (RepeatsAllowed.SAME_CELL, "b", 104.0, True, []),  # the first attempt never ran
+        (RepeatsAllowed.SAME_ZONE, "b", 101.0, False, []),
+        (RepeatsAllowed.SAME_ZONE, "c", 101.0, False, [InvariantRule.DUPLICATE]),
+        (RepeatsAllowed.EVERYWHERE, "c", 101.0, False, []),
+        (RepeatsAllowed.EVERYWHERE, "c", 102.1, False, [InvariantRule.DUPLICATE]),
+        (RepeatsAllowed.SAME_CELL, "unlisted", 101.0, False, []),
+    ],
+)
+def test_repeat_is_checked_against_the_window_and_the_group(
+    group: RepeatsAllowed, second: str, second_s: float, never_ran: bool, violations: list[InvariantRule]
+) -> None:
+    """Guards against a monitor that does not see a job applied twice because its repeat came too late."""
+    history = History(RepeatRule(group, window_s=2.0))
+    history.monitor.list_received(
+        {
+            "full": False,
+            "servers": [
+                {"id": "a", "addr": "x", "state": "Ready", "cell": 1, "zone": "north"},
+                {"id": "a2", "addr": "x", "state": "Ready", "cell": 1, "zone": "north"},
+                {"id": "b", "addr": "x", "state": "Ready", "cell": 2, "zone": "north"},
+                {"id": "c", "addr": "x", "state": "Ready", "cell": 3, "zone": "south"},
+            ],
+        },
+        99.0,
+    )
+    history.monitor.attempt_started("r1", "a", 100.0, 5000)
+    history.monitor.attempt_ended("r1", "a", never_ran)
+    history.monitor.list_received(
+        {"full": False, "servers": [{"id": "a", "addr": "x", "state": "Ready", "cell": 2}]}, 100.5
+    )  # where the worker was at the send counts
+    history.monitor.attempt_started("r1", second, second_s, 900)
+    assert history.violations == violations
+
+
+def test_number_of_remembered_places_is_bounded() -> None:
+    history = History()
+    history.monitor.list_received(
+        {"servers": [{"id": f"w{n}", "addr": "x", "state": "Ready"} for n in range(PLACES_KEPT + 10)]}, 99.0
+    )
+    assert len(history.monitor._places) == PLACES_KEPT
+
+
 def test_announced_timeout_beyond_the_deadline_is_a_violation() -> None:
     history = History()
     history.monitor.attempt_started("r1", "a", 101.0, 4140)
--- a/tests/dispatch/test_send_guard.py
+++ b/tests/dispatch/test_send_guard.py
@@ -24,6 +24,8 @@
     other_attempts_in_flight=0,
     may_have_run=False,
     must_not_run_twice=False,
+    repeat_time_left_s=1.0,
+    same_deduplication_group=True,
 )
 
 REFUSED_SENDS: list[tuple[SendRefusal, dict[str, Any]]] = [
@@ -40,6 +42,8 @@
     (SendRefusal.ATTEMPT_IN_FLIGHT, {"other_attempts_at_worker": 1, "other_attempts_in_flight": 1}),
     (SendRefusal.UNSAFE_REPEAT, {"must_not_run_twice": True, "other_attempts_in_flight": 1}),
     (SendRefusal.UNSAFE_REPEAT, {"must_not_run_twice": True, "may_have_run": True}),
+    (SendRefusal.REPEAT_TOO_LATE, {"repeat_time_left_s": 0.0}),
+    (SendRefusal.OTHER_GROUP, {"same_deduplication_group": False}),
 ]
 
 
@@ -64,6 +68,11 @@
     assert find_send_refusal(replace(ALLOWED, **change)) is refusal
 
 
+def test_repeat_after_its_window_is_refused_at_once_while_the_list_is_unknown() -> None:
+    too_late = replace(ALLOWED, repeat_time_left_s=-0.1, list_usable=False)
+    assert find_send_refusal(too_late) is SendRefusal.REPEAT_TOO_LATE
+
+
 def test_every_reason_and_every_field_is_covered() -> None:
     assert {refusal for refusal, _ in REFUSED_SENDS} == set(SendRefusal)
     assert {name for _, change in REFUSED_SENDS for name in change} | {"entry_when_chosen"} == {
--- a/tests/net/test_announced_time.py
+++ b/tests/net/test_announced_time.py
@@ -9,7 +9,7 @@
 import pytest
 from virtual_time import PausingClock
 
-from beaconhinge.dispatch.invariants import SendMonitor
+from beaconhinge.dispatch.invariants import RepeatRule, RepeatsAllowed, SendMonitor
 from beaconhinge.net.attempts import AttemptSender
 from beaconhinge.runtime.metrics import Metrics
 from beaconhinge.runtime.timer_wheel import TimerWheel
@@ -32,11 +32,14 @@
         sender.timers, sender.metrics = timers, Metrics(clock.now, writer=lambda _event, _fields: None)
         sender.pool, sender.policy_runner = SimpleNamespace(list_version=1), SimpleNamespace(monitor=monitor)
         expires_at = clock.now() + LEFT_S
-        monitor.request_started("a", expires_at, False)
+        monitor.request_started("a", expires_at, RepeatRule(RepeatsAllowed.ALWAYS))
         job = SimpleNamespace(id="a", idempotency_key="", target=b"/render")
         attempt = SimpleNamespace(job=job, expires_at=expires_at)
         sent_attempt = SimpleNamespace(attempt=attempt, host=SimpleNamespace(id="s-0"), body=b"work")
-        head = sender._request_bytes(sent_attempt).decode().split("\r\n")
+        sender._refusal = lambda _sent: None
+        request = sender._encode_if_allowed(sent_attempt)
+        sender._record_send(sent_attempt, request)
+        head = request.data.decode().split("\r\n")
         readings = clock.readings
         announced_ms = next(int(line.split(": ")[1]) for line in head if line.startswith("X-Timeout-Ms"))
         assert violations == []
