Soak plays bad clients, a crowded discovery, lost jobs and short windows; memory is watched

Cause of the gap: the soak's bad clients were idle ones, nobody read a dispatcher's memory, windows for repeats were 40 s, workers lost no job, and discovery was never crowded for longer than 6 s. SIGUSR1 and the end log gauges: bytes kept for messages and bytes left, connections past a bound, memory of the process.

--- a/beaconhinge/application.py
+++ b/beaconhinge/application.py
@@ -25,6 +25,7 @@
 from .policy.dispatcher import Dispatcher
 from .runtime.clock import Clock
 from .runtime.metrics import Metrics
+from .runtime.process_memory import anonymous_memory_bytes
 from .runtime.timer_wheel import TimerWheel
 
 # `run` in `__main__.py` blocks these signals first; `handle_signals` unblocks them once handlers are set.
@@ -111,6 +112,13 @@
             budget,
             metrics,
         )
+        metrics.gauges = {
+            "client_connections": lambda: len(self.listener.clients.clients),
+            "client_connections_past_bound": lambda: self.listener.clients.past_bound,
+            "message_bytes": lambda: self.listener.clients.message_memory_bytes,
+            "message_bytes_free": lambda: budget.free_message_bytes,
+            "process_memory_bytes": anonymous_memory_bytes,
+        }
         self.operators = OperatorCalls(config, policy_runner, self.workers, self.requests, self.listener)
         self.upgrade = self._make_upgrade(shared_folder, budget)
         if local_config and local_config.progress.enabled:
--- a/beaconhinge/cli/soak.py
+++ b/beaconhinge/cli/soak.py
@@ -33,6 +33,9 @@
     processes: Annotated[int, typer.Option(min=2, max=MAX_PROCESSES, help="Number of dispatchers.")] = 12,
     only: Annotated[str, typer.Option(help="Numbers of the faults to keep, such as 0,3.")] = "",
     shrink: Annotated[bool, typer.Option(help="Leave out faults while a seed still fails.")] = True,
+    hostile: Annotated[
+        bool, typer.Option(help="Floods, a crowded discovery, lost jobs and short windows instead.")
+    ] = False,
     as_json: Annotated[bool, typer.Option("--json", help="Print a JSON line per seed, and the sum.")] = False,
     logs: Annotated[Path | None, typer.Option(help="Folder for the logs of each seed.")] = None,
 ) -> int:
@@ -43,17 +46,19 @@
 
     Examples: beaconhinge soak --seeds 1..20; beaconhinge soak --seeds 7 --processes 20 --only 0,3
     """
+    from ..standin.rig.hostile_soak import draw_hostile_soak
     from ..standin.rig.soak import draw_soak
 
+    draw = draw_hostile_soak if hostile else draw_soak
     failed, hits = list[int](), Counter[str]()
     for seed in _parse_seeds(seeds):
-        scenario = _keep_faults(draw_soak(seed, processes), only)
+        scenario = _keep_faults(draw(seed, processes), only)
         verdict = _run_scenario(scenario, None if logs is None else logs / f"seed-{seed}")
         hits.update(verdict.faults)
         failed += [] if verdict.well else [seed]
         _print_verdict(seed, verdict, as_json)
         if not verdict.well and shrink:
-            _print_shrunk(scenario, processes)
+            _print_shrunk(scenario, processes, hostile)
     total = {"seeds": len(_parse_seeds(seeds)), "failed": failed, "faults": dict(sorted(hits.items()))}
     print(
         json.dumps(total)
@@ -106,19 +111,21 @@
         ) from None
 
 
-def _print_shrunk(scenario: Scenario, processes: int) -> None:
+def _print_shrunk(scenario: Scenario, processes: int, hostile: bool) -> None:
     """Shrink a failing scenario; print the command that repeats it, and the faults that remain."""
     from ..standin.rig.soak import shrink
 
     shrunk = shrink(scenario, lambda candidate: not _run_scenario(candidate).well)
     numbers = ",".join(str(scenario.faults.index(fault)) for fault in shrunk.faults)
-    command = f"beaconhinge soak --seeds {scenario.seed} --processes {processes} --only {numbers}"
+    profile = " --hostile" if hostile else ""
+    command = f"beaconhinge soak{profile} --seeds {scenario.seed} --processes {processes} --only {numbers}"
     print(f"  to repeat: {command}", flush=True)
     for fault in shrunk.faults:
         print(
             f"    {fault.at_s:.2f} s {fault.kind} for {fault.duration_s:.2f} s, "
             f"dispatchers {fault.dispatchers or 'all'}"
             f"{' ' + fault.spoil.value if fault.kind == 'spoil' else ''}"
-            f"{' ' + fault.worker_fault.value if fault.kind == 'workers' else ''}",
+            f"{' ' + fault.worker_fault.value if fault.kind == 'workers' else ''}"
+            f"{' ' + fault.flood.value if fault.kind == 'flood' else ''}",
             flush=True,
         )
--- a/beaconhinge/net/client_table.py
+++ b/beaconhinge/net/client_table.py
@@ -136,6 +136,16 @@
         since = self.timers.now() - REQUEST_IN_TRANSIT_S
         return any(client.connection.used_at > since for client in self.without_message)
 
+    @property
+    def message_memory_bytes(self) -> int:
+        """Memory that the messages of all connections take, in bytes."""
+        return sum(client.connection.memory_bytes for client in self.clients)
+
+    @property
+    def past_bound(self) -> int:
+        """Number of connections whose further bytes are dropped, as their peer has gone past a bound."""
+        return sum(client.connection.past_bound for client in self.clients)
+
     @property
     def unanswered(self) -> int:
         """Number of connections that await an answer, or whose peer has sent bytes that are not read yet."""
--- a/beaconhinge/runtime/metrics.py
+++ b/beaconhinge/runtime/metrics.py
@@ -21,6 +21,7 @@
         counters: Counters by name; operators read them in the log and by `show-stat`.
         tasks: The tasks that have not ended yet.
         traced: The topics whose events are logged one by one.
+        gauges: Return current values, by name; they are logged beside the counters.
     """
 
     def __init__(
@@ -37,6 +38,7 @@
         self.tasks: set[asyncio.Task[Any]] = set()
         self._suppressed_until: dict[str, float] = {}
         self.traced = traced
+        self.gauges: dict[str, Callable[[], int]] = {}
 
     def count(self, name: str, by: int = 1) -> None:
         """Add to a counter."""
@@ -102,8 +104,10 @@
             self.log_exception(task.get_name(), error)
 
     def log_counters(self) -> None:
-        """Write one log line with all counters."""
+        """Write one log line with all counters, and one with all gauges if there are any."""
         self.log("counters", **dict(sorted(self.counters.items())))
+        if self.gauges:
+            self.log("gauges", **{name: read() for name, read in sorted(self.gauges.items())})
 
 
 def _format_value(value: object) -> str:
--- a/beaconhinge/standin/discovery.py
+++ b/beaconhinge/standin/discovery.py
@@ -23,6 +23,10 @@
 SLOW_READ_S = 0.65
 
 
+# Seconds that a call waits for its turn while discovery is crowded.
+CROWDED_WAIT_S = 2.5
+
+
 class ReadFault(enum.Enum):
     """How an overloaded discovery treats reads of the whole list. Calls with an index are not delayed."""
 
@@ -95,6 +99,8 @@
         self.version = 1
         self.server = Server(self._answer)
         self.is_down = False  # whether connections are closed without an answer once a call is read
+        self.is_crowded = False  # whether each call waits for its turn for too long, and is refused
+        self.crowded_calls = 0  # calls that were refused so
         self.open_watches = 0
         self.spoil: Spoil | None = None
         self.spoilt_answers = 0
@@ -160,6 +166,10 @@
         self.calls += 1
         if self.is_down:
             return None
+        if self.is_crowded:
+            self.crowded_calls += 1
+            await asyncio.sleep(CROWDED_WAIT_S)
+            return http1.response(503)
         path, _, query = message.target.decode("latin-1").partition("?")
         if path != "/discovery/hosts":
             return http1.response(404)
--- a/beaconhinge/standin/rig/clients.py
+++ b/beaconhinge/standin/rig/clients.py
@@ -124,6 +124,8 @@
             outcome = await self._send_attempt(attempt, is_retry=number > 0)
             self.answered[key] = outcome == "200"
             number += 1
+            if number == self.scenario.keyed_attempts:
+                return
             await asyncio.sleep(0.0 if self.answered[key] else RETRY_DELAY_S)
 
     async def _send_attempt(self, attempt: ClientAttempt, is_retry: bool = False) -> str:
--- a/beaconhinge/standin/rig/faults.py
+++ b/beaconhinge/standin/rig/faults.py
@@ -10,6 +10,7 @@
 
 from ...net.sockets import connect
 from ..workers import FakeWorker
+from .floods import flood
 from .process import Process
 from .record import Drain, RunRecord
 from .scenario import Fault
@@ -68,6 +69,8 @@
             "workers": partial(self._break_worker, fault),
             "reads": partial(self._fail_reads, fault, numbers),
             "drain-at-read": partial(self._drain_at_reads, fault, numbers),
+            "flood": partial(self._flood, fault, numbers),
+            "crowded-discovery": partial(self._crowd_discovery, fault, numbers),
         }[fault.kind]
         # Awaited before the addition: another fault of this kind may add its hits meanwhile.
         hits = await injection()
@@ -134,6 +137,15 @@
             self.record.crowded_spans.setdefault(number, []).append((began, time.monotonic()))
         return opened
 
+    async def _flood(self, fault: Fault, numbers: list[int]) -> int:
+        """Flood dispatchers for the fault's duration. Return how many connections were made."""
+        floods = [
+            flood(self.topology.ports[number], fault.flood, fault.duration_s)
+            for number in numbers
+            for _ in range(fault.connections)
+        ]
+        return sum(await asyncio.gather(*floods))
+
     def _jobs_without_key(self, processes: list[Process]) -> list[tuple[FakeWorker, JobKey]]:
         """Return the jobs without a key that workers run for these processes, each with its worker.
 
@@ -216,6 +228,19 @@
             self.record.discovery_outages.setdefault(number, []).append((began, time.monotonic()))
         return sum(discovery.calls for discovery in discoveries) - calls_before
 
+    async def _crowd_discovery(self, fault: Fault, numbers: list[int]) -> int:
+        """Make discovery crowded for the fault's duration. Return how many calls it refused meanwhile."""
+        discoveries, began = [self.topology.discoveries[number] for number in numbers], time.monotonic()
+        refused_before = sum(discovery.crowded_calls for discovery in discoveries)
+        for discovery in discoveries:
+            discovery.is_crowded = True
+        await asyncio.sleep(fault.duration_s)
+        for discovery in discoveries:
+            discovery.is_crowded = False
+        for number in numbers:
+            self.record.discovery_outages.setdefault(number, []).append((began, time.monotonic()))
+        return sum(discovery.crowded_calls for discovery in discoveries) - refused_before
+
     async def _mute_watches(self, fault: Fault, numbers: list[int]) -> int:
         """Silence the open watches for good. Return how many fell silent."""
         for number in numbers:
--- a/beaconhinge/standin/rig/judge.py
+++ b/beaconhinge/standin/rig/judge.py
@@ -12,6 +12,7 @@
 from .clients import ANSWER_GRACE_S
 from .record import FinishedRun, RunRecord
 from .verdict import (
+    MB_BYTES,
     ClientAttempt,
     Verdict,
     attempts_after_disconnect,
@@ -22,6 +23,7 @@
     leases_without_acts,
     lost_in_shutdowns,
     missing_without_excuse,
+    over_memory_limit,
     overstated_deadlines,
     served_share_of_attempts,
     served_share_of_jobs,
@@ -69,6 +71,7 @@
         *_broken_by_shutdowns(run),
         *_broken_by_sends(run),
         *_broken_by_leases(run),
+        *over_memory_limit(run.peak_memory_bytes, run.scenario.memory_mb),
         *_faults_without_hits(run),
     ]
     attempts, answered, acts = run.clients.attempts, run.clients.answered, record.lease_acts
@@ -92,6 +95,7 @@
         acts=sum(act.accepted for act in acts),
         tenures=len({(act.lease, act.number) for act in acts}),
         stale=sum(not act.accepted for act in acts),
+        peak_memory_mb=round(max(run.peak_memory_bytes.values(), default=0) / MB_BYTES, 1),
         orphans=record.orphaned_jobs,
         broken=broken,
         last=[*_own_stalls(record), *record.events[-MAX_EVENTS:]] if broken else [],
--- a/beaconhinge/standin/rig/process.py
+++ b/beaconhinge/standin/rig/process.py
@@ -75,6 +75,11 @@
         self._reader: asyncio.Task[None] | None = None
         self._process: asyncio.subprocess.Process | None = None
 
+    @property
+    def process_id(self) -> int | None:
+        """Id of the process; None if it does not run."""
+        return self._process.pid if self.running and self._process is not None else None
+
     @property
     def running(self) -> bool:
         """Whether the process was started and has not ended. A paused process counts as running."""
--- a/beaconhinge/standin/rig/record.py
+++ b/beaconhinge/standin/rig/record.py
@@ -92,3 +92,4 @@
     clients: Clients
     record: RunRecord
     lease_names: list[str]
+    peak_memory_bytes: dict[int, int]  # by number of the dispatcher
--- a/beaconhinge/standin/rig/runner.py
+++ b/beaconhinge/standin/rig/runner.py
@@ -13,6 +13,7 @@
 from .faults import FaultInjector
 from .judge import judge
 from .lease_resource import LeaseResource
+from .memory_watch import MemoryWatch
 from .record import FinishedRun, RunRecord, ignore_event
 from .run_logs import write_logs
 from .scenario import Scenario, draw_faults
@@ -47,6 +48,7 @@
         self.record = RunRecord(on_event)
         self.topology = Topology(scenario, folder)
         self.fault_injector = FaultInjector(self.topology, self.record)
+        self.memory_watch = MemoryWatch(self.topology.processes)
         self.lease_resource = LeaseResource(scenario, self.record.lease_acts)
         self.clients = Clients(
             scenario,
@@ -71,7 +73,10 @@
         """
         topology, record = self.topology, self.record
         await self.start_stand_ins()
-        stall_watch = asyncio.create_task(self._watch_own_stalls())
+        watches = [
+            asyncio.create_task(self._watch_own_stalls()),
+            asyncio.create_task(self.memory_watch.run()),
+        ]
         try:
             if self.scenario.store:
                 await topology.prepare_stores()
@@ -87,10 +92,18 @@
                 *(process.end(signal.SIGTERM) for process in topology.processes)
             )
         finally:
-            stall_watch.cancel()
+            for watch in watches:
+                watch.cancel()
             await self.stop()
         return judge(
-            FinishedRun(self.scenario, topology, self.clients, record, self.lease_resource.lease_names)
+            FinishedRun(
+                self.scenario,
+                topology,
+                self.clients,
+                record,
+                self.lease_resource.lease_names,
+                self.memory_watch.peak_bytes,
+            )
         )
 
     async def _watch_own_stalls(self) -> None:
--- a/beaconhinge/standin/rig/scenario.py
+++ b/beaconhinge/standin/rig/scenario.py
@@ -13,6 +13,7 @@
 from ...errors import Error
 from ..discovery import ReadFault, Spoil
 from ..workers import WorkerFault
+from .floods import Flood
 
 FaultKind = Literal[
     "stop",
@@ -30,6 +31,8 @@
     "crowd",
     "reads",
     "drain-at-read",
+    "flood",
+    "crowded-discovery",
 ]
 SeriesSignal = Literal["TERM", "HUP", "USR1", "CONT"]
 DrawnKind = Literal["stop", "kill", "term", "cut", "lossy"]
@@ -71,6 +74,8 @@
         `workers`: The last worker that has no fault yet treats its jobs as the worker fault says.
         `crowd`: Idle clients hold as many connections as they get.
         `reads`: Reads of the whole list from discovery are treated as the read fault says.
+        `flood`: Bad clients send without end what a dispatcher must not keep, as the flood says.
+        `crowded-discovery`: Each call to discovery waits for its turn for too long, and is refused then.
         `drain-at-read`: The last workers drain in the list of each dispatcher just after its next read of the
             whole list.
 
@@ -87,7 +92,9 @@
         worker_fault: For `workers`, how jobs are treated [trouble].
         signals: For `restart`, the signals sent after SIGTERM.
         signal_gap_s: Seconds from SIGTERM to the first of `signals`, and between two of them.
-        connections: For `crowd`, the number of connections tried at each dispatcher.
+        connections: For `crowd`, the number of connections tried at each dispatcher; for `flood`, that of the
+            clients that flood it.
+        flood: For `flood`, what is sent.
         folder: For `kill`, the folder of the restarted process. `other` has a copy of another process's
             store, `old` has its own store as it was before the scenario.
     """
@@ -107,6 +114,7 @@
     signals: list[SeriesSignal] = msgspec.field(default_factory=list)
     signal_gap_s: float = 0.1
     connections: int = 100
+    flood: Flood = Flood.HEADERS
 
 
 class Scenario(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -145,6 +153,10 @@
         longest_deadline_s: Longest deadline of every class in seconds; 0 for those of the settings. Clients
             wait no longer.
         sockets: Limit on the sockets of each dispatcher; 0 for the platform's.
+        memory_mb: Limit on the memory of each dispatcher, in megabytes. More breaks a rule.
+        deduplication_window_s: Seconds in which a group of workers does not run a key again.
+        lost_share: Share of the jobs with a key that workers start and then report as lost.
+        keyed_attempts: Most attempts of a client for a job with a key; 0 for no limit.
         system_calls: How system calls of every second process fail, as `shim.environment` takes it.
         drawn_faults: Number of further faults, of all kinds in DRAWN_KINDS, drawn from the seed [drawn].
     """
@@ -181,6 +193,10 @@
     front: bool = False
     longest_deadline_s: float = 0.0
     sockets: int = 0
+    memory_mb: int = 192
+    deduplication_window_s: float = 40.0
+    lost_share: float = 0.0
+    keyed_attempts: int = 0
 
     drawn_faults: int = msgspec.field(default=0, name="drawn")
     faults: list[Fault] = []
--- a/beaconhinge/standin/rig/topology.py
+++ b/beaconhinge/standin/rig/topology.py
@@ -21,10 +21,6 @@
 from .scenario import Scenario
 
 UNSAFE_CLASS = {"name": "transfer", "aim": 2.0, "hardLimit": 7.5, "semantics": "fragile"}
-# Memory limit of a dispatcher whose sockets are limited.
-MEMORY_MB = 192
-# Seconds after a job in which a deduplication group drops duplicates of it.
-DEDUPLICATION_WINDOW_S = 40.0
 
 
 class Topology:
@@ -51,7 +47,9 @@
 
     def _create_workers(self) -> list[FakeWorker]:
         scenario = self.scenario
-        groups = [DeduplicationGroup(DEDUPLICATION_WINDOW_S) for _ in range(scenario.deduplication_groups)]
+        groups = [
+            DeduplicationGroup(scenario.deduplication_window_s) for _ in range(scenario.deduplication_groups)
+        ]
         mean_run_s = {
             "render": scenario.render_s,
             "publish": scenario.publish_s,
@@ -66,6 +64,7 @@
                 4 * scenario.slots,
                 seed=scenario.seed,
                 deduplication_group=groups[number % scenario.deduplication_groups],
+                lost_share=scenario.lost_share,
             )
             for number in range(scenario.workers)
         ]
@@ -114,7 +113,7 @@
 
     def _limits(self) -> dict[str, object]:
         sockets = self.scenario.sockets
-        return {"limits": {"memory_mb": MEMORY_MB, "sockets": sockets}} if sockets else {}
+        return {"limits": {"memory_mb": self.scenario.memory_mb, "sockets": sockets}} if sockets else {}
 
     def _settings(self, number: int) -> dict[str, object]:
         limits = {**SETTINGS["policyLimits"], "peers": True, "connectTimeout": 0.25}
@@ -126,6 +125,11 @@
         if self.scenario.unsafe:
             classes = [*classes, UNSAFE_CLASS]
             family = {**family, "classKind": [-1] * 3, "classStretch": [2.0] * 3}
+        window_s = self.scenario.deduplication_window_s
+        classes = [
+            {**job_class, "dedupWindow": window_s} if "dedupWindow" in job_class else job_class
+            for job_class in classes
+        ]
         if self.scenario.longest_deadline_s:
             classes = [{**job_class, "hardLimit": self.scenario.longest_deadline_s} for job_class in classes]
         return {
--- a/beaconhinge/standin/rig/verdict.py
+++ b/beaconhinge/standin/rig/verdict.py
@@ -17,6 +17,7 @@
 RETRYABLE_CLASS = "render"
 # The status that reports a job as failed though it may have run.
 FAILED = "502"
+MB_BYTES = 1024 * 1024
 
 
 class ClientAttempt(msgspec.Struct):
@@ -76,6 +77,7 @@
         acts: Number of accepted acts under leases.
         tenures: Number of tenures that acts were made under.
         stale: Number of acts that the resource refused for their tenure's number.
+        peak_memory_mb: The most memory that a dispatcher had, in megabytes.
         orphans: Jobs without a key of killed processes that workers still ran 2 s after the restart.
         broken: Broken rules, as texts. A run that served nothing or a fault that hit nothing breaks one too.
         last: The last events of the run, if a rule was broken.
@@ -99,6 +101,7 @@
     acts: int
     tenures: int
     stale: int
+    peak_memory_mb: float
     orphans: int
     broken: list[str]
     last: list[str]
@@ -273,6 +276,15 @@
     ]
 
 
+def over_memory_limit(peak_bytes: Mapping[int, int], limit_mb: int) -> list[str]:
+    """Find dispatchers that had more memory than the platform allows; it would have killed them."""
+    return [
+        f"dispatcher {number} had {memory_bytes / MB_BYTES:.0f} MB of memory, its limit being {limit_mb} MB"
+        for number, memory_bytes in sorted(peak_bytes.items())
+        if memory_bytes > limit_mb * MB_BYTES
+    ]
+
+
 def keys_run_twice(runs: Mapping[str, int]) -> list[str]:
     """Return the keys that ran more than once, sorted."""
     return sorted(key for key, times in runs.items() if times > 1)
--- a/beaconhinge/standin/workers.py
+++ b/beaconhinge/standin/workers.py
@@ -23,6 +23,8 @@
 PROGRESS_INTERVAL_S = 1.0
 # Mean run time in seconds of a class that `mean_run_s` lacks.
 DEFAULT_RUN_S = 0.1
+# Seconds from the start of a job to the report that it is lost.
+LOST_AFTER_S = 1.0
 
 
 class DeduplicationGroup:
@@ -69,6 +71,7 @@
     """One worker.
 
     `mean_run_s` gives the mean run time in seconds by class. Run times are drawn from it and the seed.
+    `lost_share` is the share of the jobs with a key that are started and then reported as lost.
     """
 
     def __init__(
@@ -80,6 +83,7 @@
         queue: int = 4,
         seed: int = 0,
         deduplication_group: DeduplicationGroup | None = None,
+        lost_share: float = 0.0,
     ) -> None:
         self.name = name
         self.mean_run_s = mean_run_s
@@ -87,6 +91,7 @@
         self.queue = queue
         self.random = random.Random(f"{seed}/{name}")
         self.deduplication_group = deduplication_group
+        self.lost_share = lost_share
         # Servers and callers, one of each for each dispatcher.
         self.servers: list[Server] = []
         self.callers: list[Caller] = []
@@ -164,6 +169,11 @@
         if key and group is not None and group.is_duplicate(key, now):
             self.counters["dropped"] += 1
             return http1.response(202)
+        if key and self.lost_share and self.random.random() < self.lost_share:
+            self.jobs[callback_caller.port, request_id] = self.server.spawn(
+                self._lose(callback_caller, request_id, key)
+            )
+            return http1.response(202)
         job_class = path.strip("/").partition("/")[0]
         self.jobs[callback_caller.port, request_id] = self.server.spawn(
             self._run(callback_caller, request_id, key or request_id, job_class)
@@ -187,6 +197,16 @@
         finally:
             self.jobs.pop((callback_caller.port, request_id), None)
 
+    async def _lose(self, callback_caller: Caller, request_id: str, key: str) -> None:
+        """Start a job and report it as lost: it has had its effect, and has no result."""
+        self.runs[key] += 1
+        try:
+            await self._notify(callback_caller, request_id, "started")
+            await asyncio.sleep(LOST_AFTER_S)
+            await self._notify(callback_caller, request_id, "lost")
+        finally:
+            self.jobs.pop((callback_caller.port, request_id), None)
+
     async def _notify(self, callback_caller: Caller, request_id: str, state: str, **fields: object) -> None:
         body = json.dumps({"id": request_id, "from": self.name, "state": state, **fields}).encode()
         headers = {"Host": "dispatcher", "Content-Length": str(len(body))}
--- a/tests/cli/test_soak.py
+++ b/tests/cli/test_soak.py
@@ -14,6 +14,8 @@
 from beaconhinge.cli import main
 from beaconhinge.standin.discovery import ReadFault, Spoil
 from beaconhinge.standin.rig import shim
+from beaconhinge.standin.rig.floods import Flood
+from beaconhinge.standin.rig.hostile_soak import draw_hostile_soak
 from beaconhinge.standin.rig.soak import LAST_FAULT_AT_S, SCENARIO_S, draw_soak, shrink
 from beaconhinge.standin.workers import WorkerFault
 
@@ -58,6 +60,15 @@
     assert len(overlapping) > 100
 
 
+def test_hostile_draw_is_deterministic_and_seeds_cover_every_flood() -> None:
+    scenarios = [draw_hostile_soak(seed, 6) for seed in range(40)]
+    assert draw_hostile_soak(7, 6) == scenarios[7]
+    assert all(scenario.problem() is None for scenario in scenarios)
+    faults = [fault for scenario in scenarios for fault in scenario.faults]
+    assert {fault.flood for fault in faults if fault.kind == "flood"} == set(Flood)
+    assert {fault.kind for fault in faults} == {"flood", "crowded-discovery", "workers"}
+
+
 def test_failing_scenario_is_shrunk_to_the_faults_it_needs() -> None:
     scenario = draw_soak(3, 12)
     needed = scenario.faults[2]
@@ -159,3 +170,16 @@
         assert f" {kind} " in out
     # A dispatcher need not read a whole list during a `reads` fault, so only one of the two seeds has to.
     assert sum(int(hits) for hits in re.findall(r" reads (\d+)", out)) > 0
+
+
+def test_fixed_hostile_seeds_break_no_rule(capsys: pytest.CaptureFixture[str]) -> None:
+    """Guards against memory that floods take, and against repeats after their window.
+
+    With the code before either mend, dispatchers pass 64 MB in both seeds, and keys run twice in the first.
+    """
+    assert main(["soak", "--hostile", "--seeds", "1..2", "--processes", "6", "--no-shrink"]) == 0
+    out = capsys.readouterr().out
+    assert "failed: none" in out
+    for kind in ("crowded-discovery", "flood", "workers"):
+        assert f"{kind} 0" not in out
+        assert f"{kind} " in out
--- a/tests/runtime/test_metrics.py
+++ b/tests/runtime/test_metrics.py
@@ -11,6 +11,7 @@
 import pytest
 
 from beaconhinge.runtime.metrics import Metrics
+from beaconhinge.runtime.process_memory import anonymous_memory_bytes
 
 ROOT = Path(__file__).resolve().parents[2]
 
@@ -43,6 +44,22 @@
     asyncio.run(run())
 
 
+def test_gauges_are_logged_beside_the_counters() -> None:
+    metrics = Metrics(lambda: 1.0, sink := io.StringIO())
+    metrics.log_counters()
+    assert "gauges" not in sink.getvalue()
+    metrics.gauges = {"b": lambda: 2, "a": lambda: 1}
+    metrics.log_counters()
+    assert sink.getvalue().splitlines()[-1] == "1.000 gauges a=1 b=2"
+
+
+def test_memory_of_a_process_is_read() -> None:
+    own_bytes = anonymous_memory_bytes()
+    kept = bytearray(50_000_000)
+    assert anonymous_memory_bytes() >= own_bytes + 0.9 * len(kept)
+    assert anonymous_memory_bytes(2**22 + 1) == 0  # no such process
+
+
 def test_false_check_raises_in_debug_mode_and_is_counted_otherwise() -> None:
     with pytest.raises(AssertionError, match="name"):
         Metrics(lambda: 1.0).check(False, "name")
--- a/tests/standin/test_judge.py
+++ b/tests/standin/test_judge.py
@@ -9,7 +9,7 @@
 
 from beaconhinge.standin.rig.judge import _notified_at, _own_stalls
 from beaconhinge.standin.rig.record import RunRecord
-from beaconhinge.standin.rig.verdict import ClientAttempt, describe_missing, wrongly_failed
+from beaconhinge.standin.rig.verdict import ClientAttempt, describe_missing, over_memory_limit, wrongly_failed
 
 
 def run_with(record: RunRecord) -> Any:
@@ -68,3 +68,11 @@
     record.log_own_stall(101.0, 101.5)
     record.log_own_stall(104.0, 105.42)
     assert list(_own_stalls(record)) == ["the rig itself stood still 2 times, 1.42 s at most"]
+
+
+def test_a_dispatcher_over_its_memory_breaks_a_rule() -> None:
+    # Guards against a soak with bad clients in which none goes over, as nobody looks at the memory.
+    mb = 1024 * 1024
+    assert over_memory_limit({0: 63 * mb, 1: 97 * mb, 2: 64 * mb}, 64) == [
+        "dispatcher 1 had 97 MB of memory, its limit being 64 MB"
+    ]
