--- a/beaconhinge/config/platform.py
+++ b/beaconhinge/config/platform.py
@@ -24,7 +24,7 @@
 # Share of the remaining memory that connections and bodies may use.
 _USED_SHARE = 0.8
 _MB_BYTES = 1024 * 1024
-# Most memory that a client's connection uses, apart from the request's body.
+# Memory that a client's connection uses without a reservation: its buffer, its parser, small messages.
 _CONNECTION_BYTES = 32 * 1024
 
 
@@ -51,7 +51,7 @@
 
     @property
     def max_body_bytes(self) -> int:
-        """Total bytes of clients' bodies that may be held at once.
+        """Bytes that the messages of clients and call-backs may take at once, beside small ones.
 
         A body is in memory twice while its last piece is read and while it is forwarded to a worker, so this
         is half of the spare memory that is left beside connections.
