--- a/beaconhinge/standin/rig/floods.py
+++ b/beaconhinge/standin/rig/floods.py
@@ -13,7 +13,7 @@
 PIECE_INTERVAL_S = 0.004
 BLOCK_BYTES = 1024 * 1024
 # Pause before a client that was closed connects again, which leaves time to the other stand-ins as well.
-RECONNECT_INTERVAL_S = 0.05
+RECONNECT_INTERVAL_S = 0.01
 # Seconds that a flooding client states to wait for its job.
 JOB_TIMEOUT_MS = 2000
 
