--- a/tests/cli/test_soak.py
+++ b/tests/cli/test_soak.py
@@ -175,7 +175,7 @@
 def test_fixed_hostile_seeds_break_no_rule(capsys: pytest.CaptureFixture[str]) -> None:
     """Guards against memory that floods take, and against repeats after their window.
 
-    With the code before either mend, dispatchers pass 64 MB in both seeds, and keys run twice in the first.
+    With the code before either mend, dispatchers pass 64 MB in both seeds, and keys run twice in one of them.
     """
     assert main(["soak", "--hostile", "--seeds", "1..2", "--processes", "6", "--no-shrink"]) == 0
     out = capsys.readouterr().out
