The room to grow of a body's buffer counts against memory too

Cause: a body in small pieces was counted by its length, its buffer takes up to an eighth more. Change: what the buffer has allocated is counted, and the excess given back with the whole message.

--- a/beaconhinge/net/message_parser.py
+++ b/beaconhinge/net/message_parser.py
@@ -198,10 +198,11 @@
             self._fail_for_body_length()
             return
         kept = part[: max(0, self._max_kept_body_bytes - len(self._body))]
-        if not kept or self._keep(len(kept)):
-            self._body += kept
-            if self._body_sink is not None:
-                self._body_sink.receive_body(self._message.status, part)
+        allocated = self._body.__alloc__()
+        self._body += kept
+        grown_bytes = self._body.__alloc__() - allocated  # often more than the part: room to grow
+        if self._keep(grown_bytes) and self._body_sink is not None:
+            self._body_sink.receive_body(self._message.status, part)
 
     def on_message_complete(self) -> None:
         """Called by the parser; interim (1xx) answers are dropped."""
@@ -209,6 +210,7 @@
             return
         message = self._message
         message.body = bytes(self._body)
+        self._keep(len(message.body) - self._body.__alloc__())
         message.keep_alive = self._parser.should_keep_alive()
         if not self._requests and message.status < HTTPStatus.OK:
             self._free(message.memory_bytes)
