The policy keeps 1,024 workers that have left, not all that any list has named

Callers would see nothing for months; memory and the work of each list grow with each replaced worker. Cause: nothing took a worker out of the policy's table. Change: beyond 1,024 that have left and have no attempt in flight, the ones named first are forgotten.

--- a/beaconhinge/policy/workers.py
+++ b/beaconhinge/policy/workers.py
@@ -13,6 +13,9 @@
 BASE_EJECTION_S = 0.5
 """Seconds of a worker's first ejection; doubled each time that it fails on probation."""
 
+MAX_DEPARTED_WORKERS = 1024
+"""Most workers that have left the list whose state is kept, in case they return."""
+
 ALL_KINDS = -1
 """Key of the pool that holds the workers of all kinds."""
 
@@ -75,7 +78,10 @@
 
 
 class WorkerTable:
-    """All workers that any membership update has named, and pools of those that may receive jobs."""
+    """The workers that membership updates have named, and pools of those that may receive jobs.
+
+    Of those that have left the list, the ones named last are kept, and all that have attempts in flight.
+    """
 
     def __init__(self) -> None:
         """Start without workers."""
@@ -96,7 +102,13 @@
 
     def rebuild_pools(self) -> None:
         """Rebuild the pools by kind, after workers were added, removed or changed."""
+        self._forget_departed()
         self.by_key = {w.key: w for w in self.by_id.values()}
         listed = [w for w in self.by_id.values() if w.listed]
         kinds = (ALL_KINDS, *{w.kind for w in listed})
         self.listed = {k: [w for w in listed if k in (ALL_KINDS, w.kind)] for k in kinds}
+
+    def _forget_departed(self) -> None:
+        departed = [w.id for w in self.by_id.values() if not w.ready and w.in_flight == 0]
+        for worker_id in departed[: max(0, len(departed) - MAX_DEPARTED_WORKERS)]:
+            del self.by_id[worker_id]
