A finished job and a closed connection leave no reference cycle; unread answers count as memory

Callers with results of 60 KB would see a dispatcher killed for its memory: 310 such jobs took a process from 26 to 64 MB (limit 48), whether or not the clients read. `gauges` showed message_bytes 0 and the whole reserve free, so it was kept elsewhere. Cause: request and attempts, connection and parser referred to each other, and what they held (90 KB a job) stayed until the garbage collector's oldest generation ran. Change: the references are dropped as a request leaves its table and a connection is closed. An answer that a client does not take at once counts against the memory for messages.

--- a/beaconhinge/dispatch/attempt.py
+++ b/beaconhinge/dispatch/attempt.py
@@ -128,7 +128,9 @@
             self.outcome = outcome
             if self.timer is not None:
                 self.timer.cancel()
-            self.on_end(outcome)
+            # A reference cycle through `on_end` would keep the job until the garbage collector runs.
+            on_end, self.on_end = self.on_end, _ignore_end
+            on_end(outcome)
             self._post_event(AttemptFinished(self, outcome, body, load))
 
     def report_progress(self, kind: int, share: float = 0.0) -> None:
--- a/beaconhinge/dispatch/request.py
+++ b/beaconhinge/dispatch/request.py
@@ -291,6 +291,9 @@
             self.table.keys.release(self.job, may_have_run, result)
         self.table.policy_runner.request_handlers.pop(self.number, None)
         self.table.policy_runner.monitor.request_finished(self.job.id)
+        # Attempts refer to the request. A cycle would keep its result until the garbage collector runs, which
+        # can be hundreds of requests later.
+        self._attempts.clear()
         del self.table.requests[self.job.id]
 
     async def _look_up_key(self) -> KeyStatus:
--- a/beaconhinge/net/http1.py
+++ b/beaconhinge/net/http1.py
@@ -53,6 +53,7 @@
         max_body_bytes: int = MAX_BODY_BYTES,
         max_kept_body_bytes: int | None = None,
         reserve_bytes: Callable[[int], bool] = lambda _count: True,
+        hold_bytes: Callable[[int], object] = lambda _count: None,
         body_sink: BodySink | None = None,
         now: Callable[[], float] = time.monotonic,
     ) -> None:
@@ -66,6 +67,8 @@
             max_kept_body_bytes: How much of a body is kept; None for all of it.
             reserve_bytes: Reserves memory for that many bytes of messages and returns whether there was
                 enough; a negative count gives memory back.
+            hold_bytes: Counts that many bytes of memory as used, whether or not there is enough; a negative
+                count gives memory back.
             body_sink: Receives bodies while they arrive, in addition to the complete messages.
             now: Clock, in seconds.
         """
@@ -74,6 +77,7 @@
         self._on_close = on_close
         self._open = True
         self._now = now
+        self._hold_bytes = hold_bytes
         self._buffer = bytearray(FIRST_READ_BYTES)
         self._view = memoryview(self._buffer)
         self._parser = MessageParser(
@@ -235,12 +239,21 @@
         return parser.take()
 
     async def send(self, data: bytes) -> None:
-        """Write all of `data`.
+        """Write all of `data`; while the peer does not take it, it counts as memory used.
 
         Raises:
             OSError: The connection has failed.
         """
-        await asyncio.get_running_loop().sock_sendall(self.sock, data)
+        rest = memoryview(data)
+        with contextlib.suppress(BlockingIOError):
+            rest = rest[self.sock.send(rest) :]
+        if not rest:
+            return
+        self._hold_bytes(len(data))
+        try:
+            await asyncio.get_running_loop().sock_sendall(self.sock, rest)
+        finally:
+            self._hold_bytes(-len(data))
 
     def silent(self) -> bool:
         """Return whether nothing waits to be read or taken, not even the end of the peer's stream."""
--- a/beaconhinge/net/listener.py
+++ b/beaconhinge/net/listener.py
@@ -230,6 +230,7 @@
                 requests=True,
                 on_close=self.budget.release,
                 reserve_bytes=self.budget.reserve_message_bytes,
+                hold_bytes=self.budget.hold_message_bytes,
                 now=self.timers.now,
             )
         )
--- a/beaconhinge/net/message_parser.py
+++ b/beaconhinge/net/message_parser.py
@@ -81,6 +81,10 @@
         """Called once all bytes of one read have been parsed."""
 
 
+def _no_time() -> float:
+    return 0.0
+
+
 def _always(_count: int) -> bool:
     return True
 
@@ -102,7 +106,7 @@
         max_kept_body_bytes: int | None = None,
         reserve_bytes: Callable[[int], bool] = _always,
         body_sink: BodySink | None = None,
-        arrival_time: Callable[[], float] = lambda: 0.0,
+        arrival_time: Callable[[], float] = _no_time,
     ) -> None:
         """Create a parser.
 
@@ -276,12 +280,17 @@
         self._taken_bytes = 0
 
     def close(self) -> None:
-        """Drop everything, and give back all memory; nothing is accepted any more."""
+        """Drop everything, and give back all memory; nothing is accepted any more.
+
+        This ends all reference cycles, which would keep the connection until the garbage collector runs.
+        """
         self._stopped = True
         self.inbox.clear()
         self._message, self._body = Message(), bytearray()
         self._taken_bytes = 0
         self._free(self._memory_bytes)
+        self._drop_parser()
+        self.error, self._body_sink, self._arrival_time = None, None, _no_time
 
     # ---- parsing -------------------------------------------------------------------------------------------
 
--- a/beaconhinge/net/sockets.py
+++ b/beaconhinge/net/sockets.py
@@ -54,6 +54,10 @@
         self.free_message_bytes -= count
         return True
 
+    def hold_message_bytes(self, count: int) -> None:
+        """Count bytes of memory as used, even if fewer are left; a negative count releases them."""
+        self.free_message_bytes -= count
+
     def set_share(self, share: float) -> None:
         """Limit this process to a fraction of the budget, or return it to the whole with 1.
 
