The guard is asked once less a send; the trace says how long an attempt waited

Cause: two questions stood right behind one another before the encoding; two faults of the rig's discovery were written out twice. Change: the guard is asked with the encoding first, and again after a wait for the list; `attempt_sent` has `waited`; the rig's discovery has one state.

--- a/beaconhinge/net/attempts.py
+++ b/beaconhinge/net/attempts.py
@@ -197,7 +197,7 @@
 
         The bytes must be written in the turn of the event loop in which this returns.
         """
-        request: _EncodedRequest | SendRefusal = SendRefusal.LIST_UNKNOWN
+        request = self._encode_if_allowed(sent)
         while request is SendRefusal.LIST_UNKNOWN:
             if (why := await self._refusal_once_list_usable(sent)) is not None:
                 return why
@@ -233,6 +233,7 @@
             request=job.id,
             worker=sent.host.id,
             list_version=self.pool.list_version,
+            waited=request.encoded_at - sent.attempt.sent_at,
         )
         self.policy_runner.monitor.attempt_started(
             job.id, sent.host.id, request.encoded_at, request.announced_timeout_ms
--- a/beaconhinge/standin/discovery.py
+++ b/beaconhinge/standin/discovery.py
@@ -42,6 +42,14 @@
         return self in (ReadFault.LATE, ReadFault.STALE)
 
 
+class DiscoveryState(enum.Enum):
+    """Whether discovery serves."""
+
+    SERVING = "serving"
+    DOWN = "down"  # connections are closed without an answer once a call is read
+    CROWDED = "crowded"  # each call waits for its turn for too long, and is refused
+
+
 class WatchEnd(enum.Enum):
     """How a watch ended."""
 
@@ -98,9 +106,7 @@
         self.servers = {str(entry["id"]): entry for entry in servers}
         self.version = 1
         self.server = Server(self._answer)
-        self.is_down = False  # whether connections are closed without an answer once a call is read
-        self.is_crowded = False  # whether each call waits for its turn for too long, and is refused
-        self.crowded_calls = 0  # calls that were refused so
+        self.state = DiscoveryState.SERVING
         self.open_watches = 0
         self.spoil: Spoil | None = None
         self.spoilt_answers = 0
@@ -132,10 +138,16 @@
         self._changed_event.set()
         self._changed_event = asyncio.Event()
 
-    def take_down(self) -> None:
-        """Be unavailable from now on; the connections of open watches are closed."""
-        self.is_down = True
-        self._wake_watches()
+    @property
+    def is_down(self) -> bool:
+        """Whether connections are closed without an answer once a call is read."""
+        return self.state is DiscoveryState.DOWN
+
+    def set_state(self, state: DiscoveryState) -> None:
+        """Change the state; the connections of open watches are closed if discovery is down from now on."""
+        self.state = state
+        if self.is_down:
+            self._wake_watches()
 
     def mute(self) -> int:
         """Never answer the open watches, as if their connections led nowhere. Return their number."""
@@ -166,8 +178,7 @@
         self.calls += 1
         if self.is_down:
             return None
-        if self.is_crowded:
-            self.crowded_calls += 1
+        if self.state is DiscoveryState.CROWDED:
             await asyncio.sleep(CROWDED_WAIT_S)
             return http1.response(503)
         path, _, query = message.target.decode("latin-1").partition("?")
--- a/beaconhinge/standin/rig/faults.py
+++ b/beaconhinge/standin/rig/faults.py
@@ -9,6 +9,7 @@
 from functools import partial
 
 from ...net.sockets import connect
+from ..discovery import DiscoveryState
 from ..workers import FakeWorker
 from .floods import flood
 from .process import Process
@@ -217,29 +218,23 @@
 
     async def _stop_discovery(self, fault: Fault, numbers: list[int]) -> int:
         """Make discovery unavailable for the fault's duration. Return how many calls it got meanwhile."""
-        discoveries, began = [self.topology.discoveries[number] for number in numbers], time.monotonic()
-        calls_before = sum(discovery.calls for discovery in discoveries)
-        for discovery in discoveries:
-            discovery.take_down()
-        await asyncio.sleep(fault.duration_s)
-        for discovery in discoveries:
-            discovery.is_down = False
-        for number in numbers:
-            self.record.discovery_outages.setdefault(number, []).append((began, time.monotonic()))
-        return sum(discovery.calls for discovery in discoveries) - calls_before
+        return await self._discovery_outage(fault, numbers, DiscoveryState.DOWN)
 
     async def _crowd_discovery(self, fault: Fault, numbers: list[int]) -> int:
-        """Make discovery crowded for the fault's duration. Return how many calls it refused meanwhile."""
+        """Make discovery crowded for the fault's duration. Return how many calls it got meanwhile."""
+        return await self._discovery_outage(fault, numbers, DiscoveryState.CROWDED)
+
+    async def _discovery_outage(self, fault: Fault, numbers: list[int], state: DiscoveryState) -> int:
         discoveries, began = [self.topology.discoveries[number] for number in numbers], time.monotonic()
-        refused_before = sum(discovery.crowded_calls for discovery in discoveries)
+        calls_before = sum(discovery.calls for discovery in discoveries)
         for discovery in discoveries:
-            discovery.is_crowded = True
+            discovery.set_state(state)
         await asyncio.sleep(fault.duration_s)
         for discovery in discoveries:
-            discovery.is_crowded = False
+            discovery.set_state(DiscoveryState.SERVING)
         for number in numbers:
             self.record.discovery_outages.setdefault(number, []).append((began, time.monotonic()))
-        return sum(discovery.crowded_calls for discovery in discoveries) - refused_before
+        return sum(discovery.calls for discovery in discoveries) - calls_before
 
     async def _mute_watches(self, fault: Fault, numbers: list[int]) -> int:
         """Silence the open watches for good. Return how many fell silent."""
--- a/tests/net/test_announced_time.py
+++ b/tests/net/test_announced_time.py
@@ -34,7 +34,7 @@
         expires_at = clock.now() + LEFT_S
         monitor.request_started("a", expires_at, RepeatRule(RepeatsAllowed.ALWAYS))
         job = SimpleNamespace(id="a", idempotency_key="", target=b"/render")
-        attempt = SimpleNamespace(job=job, expires_at=expires_at)
+        attempt = SimpleNamespace(job=job, expires_at=expires_at, sent_at=expires_at - LEFT_S)
         sent_attempt = SimpleNamespace(attempt=attempt, host=SimpleNamespace(id="s-0"), body=b"work")
         sender._refusal = lambda _sent: None
         request = sender._encode_if_allowed(sent_attempt)
