--- a/beaconhinge/net/message_parser.py
+++ b/beaconhinge/net/message_parser.py
@@ -97,6 +97,7 @@
         partial: Whether a message has begun and is incomplete.
         error: Why the peer's messages are not accepted any more; None if they are.
         raw_bytes: Number of raw bytes of the message that is being read, or was read last.
+        dropping: Whether all further bytes are dropped: after an error, `stop` or `close`.
     """
 
     def __init__(
@@ -123,6 +124,7 @@
         self.partial = False
         self.error: BadMessage | None = None
         self.raw_bytes = 0
+        self.dropping = False
         self._requests = requests
         self._max_body_bytes = max_body_bytes
         self._max_kept_body_bytes = max_body_bytes if max_kept_body_bytes is None else max_kept_body_bytes
@@ -138,12 +140,11 @@
         self._body_bytes = 0  # length of the current body, kept or not
         self._header_count = 0
         self._header_bytes = 0  # raw bytes of the target and of the headers that are complete
-        self._unfinished_bytes = 0  # memory counted for a header that is incomplete; the parser keeps it
+        self._head_memory_bytes = 0  # memory counted for the current head
         self._framing_bytes = 0  # raw bytes since the head or the last part of the body
         self._taken_bytes = 0  # memory of messages that were taken and not released
         self._memory_bytes = 0  # memory of all messages: taken, complete and partial
         self._reserved_bytes = 0
-        self._stopped = False
 
     # ---- called by httptools; it would garble exceptions raised in here, so errors are stored --------------
 
@@ -153,14 +154,13 @@
             return
         self.partial = self._in_head = True
         self.raw_bytes = self._body_bytes = self._framing_bytes = 0
-        self._header_count = self._header_bytes = self._unfinished_bytes = 0
+        self._header_count = self._header_bytes = self._head_memory_bytes = 0
         if self._body_sink is not None:
             self._body_sink.begin_message()
-        self._keep(MESSAGE_OVERHEAD_BYTES)
 
     def on_url(self, part: bytes) -> None:
         """Called by the parser with all or a part of the target."""
-        if not self.dropping and self._keep(len(part)):
+        if not self.dropping:
             self._header_bytes += len(part)
             self._message.target += part
 
@@ -169,13 +169,13 @@
         if self.dropping or not self._in_head:  # trailers are ignored
             return
         self._header_count += 1
-        self._header_bytes += len(name) + len(value)
         if self._header_count > MAX_HEADERS:
             self._fail(431, f"more than {MAX_HEADERS} headers")
-        elif self._keep(HEADER_OVERHEAD_BYTES + len(name) + len(value)):
-            headers, key = self._message.headers, name.decode("latin-1").lower()
-            text = value.decode("latin-1").strip(" \t")  # blanks around are not part of it: RFC 9110, 5.5
-            headers[key] = f"{headers[key]}, {text}" if key in headers else text
+            return
+        self._header_bytes += len(name) + len(value)
+        headers, key = self._message.headers, name.decode("latin-1").lower()
+        text = value.decode("latin-1").strip(" \t")  # blanks around are not part of it: RFC 9110, 5.5
+        headers[key] = f"{headers[key]}, {text}" if key in headers else text
 
     def on_headers_complete(self) -> None:
         """Called by the parser."""
@@ -183,7 +183,7 @@
             return
         self._in_head = False
         self._framing_bytes = 0
-        self._count_unfinished_header()
+        self._count_head()
         if self._requests:
             self._message.method = self._parser.get_method().decode("latin-1")
         else:
@@ -232,6 +232,7 @@
         """Accept nothing more, and drop the message that is incomplete."""
         if self.error is None:
             self.error = BadMessage(status, reason)
+            self.dropping = True
             self._free(self._message.memory_bytes)
             self._message, self._body = Message(), bytearray()
 
@@ -249,11 +250,13 @@
         self._message.memory_bytes += count
         return True
 
-    def _count_unfinished_header(self) -> None:
-        """Count memory for the header of which a part was fed; the parser keeps it until it is complete."""
-        unfinished = max(0, self.raw_bytes - self._header_bytes) if self._in_head else 0
-        if self._keep(unfinished - self._unfinished_bytes):
-            self._unfinished_bytes = unfinished
+    def _count_head(self) -> None:
+        """Count memory for the head as far as it was fed: headers, target and what the parser keeps."""
+        needed = MESSAGE_OVERHEAD_BYTES + self._header_count * HEADER_OVERHEAD_BYTES + self._header_bytes
+        if self._in_head:  # the parser keeps a header until it is complete
+            needed += max(0, self.raw_bytes - self._header_bytes)
+        if self._keep(needed - self._head_memory_bytes):
+            self._head_memory_bytes = needed
 
     def _free(self, count: int) -> None:
         """Give back memory that messages took."""
@@ -284,7 +287,7 @@
 
         This ends all reference cycles, which would keep the connection until the garbage collector runs.
         """
-        self._stopped = True
+        self.dropping = True
         self.inbox.clear()
         self._message, self._body = Message(), bytearray()
         self._taken_bytes = 0
@@ -294,21 +297,16 @@
 
     # ---- parsing -------------------------------------------------------------------------------------------
 
-    @property
-    def dropping(self) -> bool:
-        """Whether all further bytes are dropped: after an error, `stop` or `close`."""
-        return self.error is not None or self._stopped
-
     def stop(self) -> None:
         """Drop all further bytes: nobody will take another message."""
-        self._stopped = True
+        self.dropping = True
 
     def feed(self, data: memoryview) -> None:
         """Parse the bytes of one read, or the part of them up to an error, which is stored in `error`."""
-        for start in range(0, len(data), PIECE_BYTES):
-            if self.dropping:
-                break
+        start = 0
+        while start < len(data) and not self.dropping:
             self._feed_piece(data[start : start + PIECE_BYTES])
+            start += PIECE_BYTES
         if len(self.inbox) > MAX_MESSAGES_AHEAD:
             self._fail(400, "too many requests sent ahead")
         if self.dropping:
@@ -326,7 +324,7 @@
         except httptools.HttpParserError as error:
             self._fail(400, f"malformed message: {error}")
         if self._in_head and not self.dropping:
-            self._count_unfinished_header()
+            self._count_head()
         if self._in_head and self.raw_bytes > MAX_HEAD_BYTES:
             self._fail(431, f"head over {MAX_HEAD_BYTES} bytes")
         elif self.raw_bytes > self._max_raw_bytes or self._framing_is_too_long():
--- a/benchmarks/lean.py
+++ b/benchmarks/lean.py
@@ -46,7 +46,7 @@
     with tempfile.TemporaryDirectory() as folder:
         fleet = DemoFleet(6, RATE, seed, Path(folder))
         fleet.write_configuration()
-        for server in (fleet.discovery.server, *(worker.server for worker in fleet.boxes)):
+        for server in (fleet.discovery.server, *(worker.server for worker in fleet.workers)):
             server.start()
         environment = {
             "RELAY_CONFIG": f"{folder}/balancer.json",
