--- a/review/second/standins.py
+++ b/review/second/standins.py
@@ -347,21 +347,34 @@
 class Dispatcher:
     """The program under test: one process, built and run as the deploy file says."""
 
-    def __init__(self, config: dict[str, object], folder: Path) -> None:
-        """Write the configuration."""
+    def __init__(self, config: dict[str, object], folder: Path, process: str = "") -> None:
+        """Write the configuration; `process` tells the processes of one dispatcher apart."""
         self.port = int(str(config["listen"]).rpartition(":")[2])
         self._folder = folder
-        self._config_file = folder / f"{config['name']}.json"
+        self._config_file = folder / f"{config['name']}{process}.json"
         self._config_file.write_text(json.dumps(config))
         self._process: subprocess.Popen[bytes] | None = None
-        self._log = (folder / f"{config['name']}.log").open("wb")
+        self._log = (folder / f"{config['name']}{process}.log").open("wb")
 
     async def start(self) -> None:
         """Start the process, and wait until it says that it is ready."""
+        self.launch()
+        assert self._process is not None
+        until = time.monotonic() + READY_WITHIN_S
+        while time.monotonic() < until:
+            if self._process.poll() is not None:
+                raise CaseError("the dispatcher has ended during its start")
+            if await self._is_up():
+                return
+            await asyncio.sleep(0.1)
+        raise CaseError("the dispatcher was not ready in time")
+
+    def launch(self) -> None:
+        """Start the process."""
         command = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["run"]
         environment = {**os.environ, "RELAY_CONFIG": str(self._config_file), "TMPDIR": str(self._folder)}
         environment.pop("BEACONHINGE_CONFIG", None)
-        self._process = subprocess.Popen(  # noqa: ASYNC220
+        self._process = subprocess.Popen(
             ["/bin/sh", "-c", command],
             cwd=ROOT,
             env=environment,
@@ -369,14 +382,6 @@
             stderr=subprocess.STDOUT,
             start_new_session=True,
         )
-        until = time.monotonic() + READY_WITHIN_S
-        while time.monotonic() < until:
-            if self._process.poll() is not None:
-                raise CaseError("the dispatcher has ended during its start")
-            if await self._is_up():
-                return
-            await asyncio.sleep(0.1)
-        raise CaseError("the dispatcher was not ready in time")
 
     async def _is_up(self) -> bool:
         try:
@@ -390,6 +395,11 @@
         await abandon(writer)
         return reply is not None and reply.status in ANSWERED_STATUSES
 
+    def terminate(self) -> None:
+        """Tell the process to end."""
+        assert self._process is not None
+        self._process.send_signal(signal.SIGTERM)
+
     @property
     def running(self) -> bool:
         """Whether the process has not ended."""
@@ -407,6 +417,20 @@
         self._log.close()
 
 
+async def call_operator(port: int, call: str) -> str:
+    """Make an operator's call, and return the answer; nothing if nobody is there."""
+    try:
+        reader, writer = await asyncio.open_connection(LOCALHOST, port)
+    except OSError:
+        return ""
+    text = b""
+    with contextlib.suppress(OSError):
+        writer.write(call.encode() + b"\n")
+        text = await reader.read()
+    await abandon(writer)
+    return text.decode()
+
+
 def with_trouble() -> bool:
     """Whether the disruption is played: not with TROUBLE=0."""
     return os.environ.get("TROUBLE", "1") != "0"
