--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -2,4 +2,4 @@
 # Plays case 8; exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
 test -x .venv/bin/python || exit 2
-exec timeout -k 5 115 .venv/bin/python review/8/case.py
+exec timeout --preserve-status -k 5 115 .venv/bin/python review/8/case.py
--- a/review/second/standins.py
+++ b/review/second/standins.py
@@ -440,10 +440,12 @@
     """Play a case in a temporary folder, and return the exit status of its script."""
     record = Record(case_folder / "record.txt")
     folder = Path(tempfile.mkdtemp(prefix="beaconhinge-review-"))
+    # If the script takes too long, the processes that it has started end with it.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     try:
         broken = asyncio.run(case(record, folder))  # type: ignore[arg-type]
-    except CaseError as error:
-        record.write("could_not_run", why=error)
+    except (CaseError, KeyboardInterrupt) as error:
+        record.write("could_not_run", why=error or "ended from outside")
         print(f"could not run: {error}")
         return COULD_NOT_RUN
     finally:
