A given-up attempt counts as held until its worker confirms the withdrawal

Cause: the DELETE of a given-up attempt was tried once, its result was dropped, and routing, guard and send monitor took the attempt as over from the decision. Where its connection did not come up, the worker never heard of it.

Change: net/withdrawals.py tries each withdrawal until the worker has answered it, has restarted, or 2 s after the deadline. Until then the attempt is held by the worker: routing bars that worker for the request (AttemptReleased ends that), the guard refuses (attempt_out), the monitor keeps the attempt open. An attempt whose connection ended unanswered is withdrawn before the same worker gets the request again. The steps of a request have a module of their own.

--- a/beaconhinge/application.py
+++ b/beaconhinge/application.py
@@ -31,6 +31,9 @@
 # `run` in `__main__.py` blocks these signals first; `handle_signals` unblocks them once handlers are set.
 SIGNALS_BLOCKED_AT_START = {signal.SIGHUP}
 
+# Seconds that the end of the process waits for withdrawals that no worker has confirmed.
+WITHDRAWALS_BEFORE_END_S = 0.1
+
 # Modules that only some configurations need are imported where they are used, to keep the start short.
 if TYPE_CHECKING:
     from .config.local import LocalConfig
@@ -196,6 +199,7 @@
             self.leases.leave()
         self.peers.stop_sending()
         await self.listener.finish()
+        await self.workers.attempts.withdrawals.finish(WITHDRAWALS_BEFORE_END_S)
         if self.snapshots is not None:
             await self.snapshots.write()
             await self.snapshots.store.close()
--- a/beaconhinge/cli/soak.py
+++ b/beaconhinge/cli/soak.py
@@ -126,6 +126,7 @@
             f"dispatchers {fault.dispatchers or 'all'}"
             f"{' ' + fault.spoil.value if fault.kind == 'spoil' else ''}"
             f"{' ' + fault.worker_fault.value if fault.kind == 'workers' else ''}"
-            f"{' ' + fault.flood.value if fault.kind == 'flood' else ''}",
+            f"{' ' + fault.flood.value if fault.kind == 'flood' else ''}"
+            f"{' ' + fault.lost_message.value if fault.kind == 'lost-messages' else ''}",
             flush=True,
         )
--- a/beaconhinge/dispatch/attempt.py
+++ b/beaconhinge/dispatch/attempt.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
 from typing import Protocol, TypeAlias
 
@@ -32,7 +32,14 @@
     """Completed share of the work, from 0 to 1."""
 
 
-AttemptEvent: TypeAlias = AttemptFinished | AttemptProgress
+@dataclass(slots=True, frozen=True)
+class AttemptReleased:
+    """Event: the worker of a given-up attempt is known not to hold its job any more."""
+
+    attempt: Attempt
+
+
+AttemptEvent: TypeAlias = AttemptFinished | AttemptProgress | AttemptReleased
 
 
 @dataclass(slots=True, frozen=True)
@@ -40,7 +47,9 @@
     """Summary of the other attempts of the same request."""
 
     at_worker: int
-    """Number of attempts in flight at the same worker."""
+    """Number of attempts whose job the same worker may hold."""
+    closed_at_worker: Sequence[Attempt]
+    """The attempts at the same worker whose connection ended before the worker's answer."""
     in_flight: int
     """Number of attempts in flight at any worker."""
     may_have_run: bool
@@ -61,6 +70,9 @@
             seconds.
         outcome: How the attempt ended; None while it is open.
         written_to: The worker's list entry when the first byte was written; None before that.
+        withdrawal_pending: Whether the attempt was given up and its worker may still hold the job.
+        closed_unanswered: Whether its connection ended before the worker's answer, and the worker has not
+            confirmed since that it does not hold the job.
         on_end: Called once with the outcome; set by the transport.
         timer: Ends the attempt at `expires_at`.
     """
@@ -86,6 +98,8 @@
         self.repeat_until = repeat_until
         self.outcome: AttemptOutcome | None = None
         self.written_to: MemberEntry | None = None
+        self.withdrawal_pending = False
+        self.closed_unanswered = False
         self.on_end: Callable[[AttemptOutcome], None] = _ignore_end
         self.timer: Timer | None = None
         self._post_event = post_event
@@ -97,6 +111,12 @@
         """Whether the attempt has no outcome yet."""
         return self.outcome is None
 
+    @property
+    def held_by_worker(self) -> bool:
+        """Whether the worker may hold the job: it was sent, has not ended, and is not known as given up."""
+        given_up = self.withdrawal_pending or self.closed_unanswered
+        return given_up or (self.open and self.written_to is not None)
+
     @property
     def may_have_run(self) -> bool:
         """Whether the attempt has ended and may have run the job."""
@@ -133,6 +153,11 @@
             on_end(outcome)
             self._post_event(AttemptFinished(self, outcome, body, load))
 
+    def release(self) -> None:
+        """Record that the worker is known not to hold the job of this given-up attempt any more."""
+        self.withdrawal_pending = False
+        self._post_event(AttemptReleased(self))
+
     def report_progress(self, kind: int, share: float = 0.0) -> None:
         """Post a progress report (a `NoticeKind` and a share from 0 to 1) while the attempt is open."""
         if self.open:
--- a/beaconhinge/dispatch/request.py
+++ b/beaconhinge/dispatch/request.py
@@ -4,18 +4,25 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable, Sequence
-from dataclasses import dataclass
-from typing import Protocol, TypeAlias
+from typing import Protocol
 
 from ..management import figures
 from ..policy import interface
 from ..policy.interface import RETRY_FLAG, AttemptOutcome, NoticeKind, Semantics
 from ..runtime.metrics import Metrics
 from ..runtime.timer_wheel import TimerWheel
-from .attempt import Attempt, AttemptFinished, AttemptProgress, AttemptTransport, SiblingAttempts
+from .attempt import (
+    Attempt,
+    AttemptFinished,
+    AttemptProgress,
+    AttemptReleased,
+    AttemptTransport,
+    SiblingAttempts,
+)
 from .invariants import RepeatRule, RepeatsAllowed
 from .job import Answer, IdempotencyKeys, Job, KeyStatus, RequestEnd
 from .policy_runner import PolicyRunner
+from .steps import Admitted, ClientLeft, Overdue, Step
 
 # Figure shown to operators for each end; a request whose client left is counted in none.
 FIGURE_OF_END = {
@@ -34,34 +41,6 @@
 MAX_REQUEST_NUMBER = 0xFFFF0000
 
 
-@dataclass(slots=True, frozen=True)
-class ClientLeft:
-    """Step: the client has closed its connection."""
-
-
-@dataclass(slots=True, frozen=True)
-class Overdue:
-    """Step: the deadline has passed, and half of the grace period for the answer after it."""
-
-
-@dataclass(slots=True, frozen=True)
-class Admitted:
-    """Step: the job was passed to the policy. The actions that it returned at once precede this step."""
-
-
-Step: TypeAlias = (
-    interface.SendAttempt
-    | interface.Reject
-    | interface.Fail
-    | interface.CancelAttempt
-    | AttemptFinished
-    | AttemptProgress
-    | ClientLeft
-    | Overdue
-    | Admitted
-)
-
-
 class RequestObserver(Protocol):
     """Receives the progress of a request, but not its answer. Attempts are given by number."""
 
@@ -278,6 +257,8 @@
                 self._on_attempt_progress(step)
             case AttemptFinished():
                 self._on_attempt_finished(step)
+            case AttemptReleased():
+                self._on_attempt_released(step)
             case ClientLeft():
                 self._on_client_left()
             case Overdue():
@@ -326,10 +307,12 @@
             self.client_is_waiting,
             self._siblings_of,
         )
-        has_open_attempt = any(a.open and a.worker == action.worker for a in self._attempts)
+        worker_has_job = any(
+            (a.open or a.withdrawal_pending) and a.worker == action.worker for a in self._attempts
+        )
         self._attempts.append(attempt)
         self.table.metrics.count("attempts")
-        one_at_a_time = self.table.metrics.check(not has_open_attempt, "one_attempt_per_worker")
+        one_at_a_time = self.table.metrics.check(not worker_has_job, "one_attempt_per_worker")
         if not self.client_is_waiting() or expires_at <= now or not one_at_a_time:
             attempt.end(AttemptOutcome.NOT_SENT)
             return
@@ -342,10 +325,12 @@
     def _siblings_of(self, attempt: Attempt) -> SiblingAttempts:
         others = [other for other in self._attempts if other is not attempt]
         written = [other for other in others if other.written_to is not None]
+        at_worker = [other for other in written if other.worker == attempt.worker]
         in_flight = [other for other in written if other.open]
         possible_runs = [other.written_to for other in written if other.open or other.may_have_run]
         return SiblingAttempts(
-            at_worker=sum(other.worker == attempt.worker for other in in_flight),
+            at_worker=sum(other.held_by_worker for other in at_worker),
+            closed_at_worker=[other for other in at_worker if other.closed_unanswered],
             in_flight=len(in_flight),
             may_have_run=any(other.may_have_run for other in others),
             first_possible_run=next(iter(possible_runs), None),
@@ -424,9 +409,15 @@
                 self.answer.done(),
                 latency,
                 step.load,
+                withdrawal_pending=attempt.withdrawal_pending,
             )
         )
 
+    def _on_attempt_released(self, step: AttemptReleased) -> None:
+        """Notify the policy, unless the request has left the policy with its answer."""
+        if not self.answer.done():
+            self.table.policy_runner.feed(interface.AttemptReleased(self.number, step.attempt.number))
+
     def _finish(self, answer: Answer) -> bool:
         """Set the answer if there is none yet; returns whether this call set it."""
         if self.answer.done():
--- a/beaconhinge/net/attempts.py
+++ b/beaconhinge/net/attempts.py
@@ -1,7 +1,7 @@
 """Sends attempts to workers: connects, consults the send guard, writes the job and reads the worker's answer.
 
 The answer only says whether the worker accepted the job; the result follows in a call-back. Jobs that are no
-longer needed are withdrawn.
+longer needed are withdrawn, see `withdrawals.py`.
 """
 
 from __future__ import annotations
@@ -24,6 +24,7 @@
 from . import http1
 from .http1 import BadMessage, Closed, Connection, Message
 from .load_reports import LoadReportParser
+from .withdrawals import GRACE_S, Withdrawal, Withdrawals
 
 if TYPE_CHECKING:
     from .worker_pool import WorkerPool
@@ -38,6 +39,7 @@
 UNRUN_STATUSES = (503, 504)  # with X-Not-Processed: 1, the worker has not run the job
 CLIENT_ERRORS = range(400, 500)
 TRANSIENT_STATUSES = (408, 429)  # client errors that are temporary and not caused by the request
+ABANDONED = (AttemptOutcome.CANCELLED, AttemptOutcome.TIMEOUT)  # outcomes that this process decided on
 
 
 def _encode_job(sent: SentAttempt, remaining_ms: int) -> bytes:
@@ -73,7 +75,7 @@
 
     Attributes:
         host: The worker's list entry when the attempt was started.
-        accepted: Whether the worker has accepted the job with a 202.
+        status: Status of the worker's answer; None before it.
         body: The job's body, kept here since an answered request drops its own while this may still connect.
         task: The task that sends the attempt.
     """
@@ -82,10 +84,26 @@
         """Wrap an attempt that has not been started."""
         self.attempt = attempt
         self.host = host
-        self.accepted = False
+        self.status: int | None = None
         self.body = attempt.job.body
         self.task: asyncio.Task[None] | None = None
 
+    @property
+    def accepted(self) -> bool:
+        """Whether the worker has accepted the job with a 202."""
+        return self.status == STATUS_ACCEPTED
+
+
+def _closed_unanswered(sent: SentAttempt, outcome: AttemptOutcome) -> bool:
+    """Return whether the connection ended before the worker's answer, so that it may yet take the job.
+
+    The end of the connection withdraws the job. But the worker may notice it only after it has received
+    another attempt of the request on another connection.
+    """
+    if sent.attempt.written_to is None or sent.status is not None:
+        return False
+    return outcome in ABANDONED or outcome == AttemptOutcome.CONNECTION_LOST
+
 
 class AttemptSender:
     """Sends attempts to workers."""
@@ -107,6 +125,7 @@
         self.timers = timers
         self.metrics = metrics
         self.open: dict[tuple[str, str], SentAttempt] = {}  # by request id and worker id
+        self.withdrawals = Withdrawals(pool.exchange, self._current_entry, timers, metrics)
 
     def find(self, request: str, worker: str) -> Attempt | None:
         """Return the open attempt of a request at a worker, both given by id; None if there is none."""
@@ -124,28 +143,58 @@
         attempt.on_end = lambda outcome: self._on_end(sent, outcome)
         sent.task = self.metrics.spawn(self._send(sent), "attempt")
 
-    async def withdraw(self, host: WorkerEndpoint, request: str) -> None:
-        """Send a DELETE to a worker for a job whose result is no longer needed."""
-        await self.pool.exchange(host, "DELETE", f"/jobs/{request}".encode())
+    def _current_entry(self, number: int) -> WorkerEndpoint | None:
+        worker = self.pool.workers.get(number)
+        return None if worker is None else worker.host
 
     def _on_end(self, sent: SentAttempt, outcome: AttemptOutcome) -> None:
-        """Clean up after an attempt that has ended, and report its end to the send monitor.
+        """Clean up after an attempt that has ended, and report its end at the worker to the send monitor.
 
         A cancelled or timed-out attempt has its connection closed, established or not, if the worker has not
         yet answered 202; after the 202 the job is withdrawn.
         """
         attempt, task = sent.attempt, sent.task
         self.open.pop((attempt.job.id, sent.host.id), None)
-        self.policy_runner.monitor.attempt_ended(attempt.job.id, sent.host.id, outcome in PROVEN_UNRUN)
-        abandoned = outcome in (AttemptOutcome.CANCELLED, AttemptOutcome.TIMEOUT)
         if task is not None and not sent.accepted:
             # A result may arrive before its 202: the connection waits LATE_ANSWER_TIMEOUT_S for the 202.
-            if abandoned or attempt.written_to is None:
+            if outcome in ABANDONED or attempt.written_to is None:
                 task.cancel()
             else:
                 self.timers.after(LATE_ANSWER_TIMEOUT_S, task.cancel)
-        elif abandoned:
-            self.metrics.spawn(self.withdraw(sent.host, attempt.job.id), "withdrawal")
+        if sent.accepted and outcome in ABANDONED:
+            self._withdraw(sent)
+        elif _closed_unanswered(sent, outcome):
+            attempt.closed_unanswered = True
+        else:
+            self.policy_runner.monitor.attempt_ended(attempt.job.id, sent.host.id, outcome in PROVEN_UNRUN)
+
+    def _withdraw(self, sent: SentAttempt) -> None:
+        """Withdraw a job; until the worker has confirmed it, it counts as held by the worker."""
+        attempt = sent.attempt
+        attempt.withdrawal_pending = True
+        request, worker, monitor = attempt.job.id, sent.host.id, self.policy_runner.monitor
+
+        def release() -> None:
+            monitor.attempt_ended(request, worker, never_ran=False)
+            attempt.release()
+
+        self.withdrawals.start(Withdrawal(request, sent.host, attempt.job.deadline + GRACE_S, release))
+
+    async def _withdraw_earlier(self, sent: SentAttempt) -> None:
+        """Withdraw the job from the worker if an earlier attempt there ended with its connection, unanswered.
+
+        Raises:
+            OSError: The worker has not confirmed it.
+        """
+        closed = sent.attempt.siblings().closed_at_worker
+        if not closed:
+            return
+        request, host = sent.attempt.job.id, sent.host
+        if not await self.withdrawals.try_once(Withdrawal(request, host, sent.attempt.expires_at)):
+            raise OSError("the worker has not confirmed that it dropped an earlier attempt")
+        self.policy_runner.monitor.attempt_ended(request, host.id, never_ran=False)
+        for earlier in closed:
+            earlier.closed_unanswered = False
 
     async def _send(self, sent: SentAttempt) -> None:
         """Send the job and read the worker's answer; ends the attempt unless the worker accepted the job."""
@@ -153,6 +202,7 @@
         connection: Connection | None = None
         idle_for_s = 0.0
         try:
+            await self._withdraw_earlier(sent)
             # Without this check, a connection to a worker that has left meanwhile would fail, and count as a
             # failure of the worker.
             if (why := await self._refusal_once_list_usable(sent)) is not None:
@@ -185,7 +235,7 @@
             if connection is not None:
                 connection.close()
             raise
-        sent.accepted = message.status == STATUS_ACCEPTED
+        sent.status = message.status
         if idle_for_s:
             self.pool.record_reuse(idle_for_s, True)
         self.pool.keep(sent.host, connection, message)
--- a/beaconhinge/net/worker_pool.py
+++ b/beaconhinge/net/worker_pool.py
@@ -20,12 +20,14 @@
 from .load_reports import LoadReportParser
 from .probes import Prober
 from .sockets import DescriptorBudget, connect
+from .withdrawals import Withdrawal
 
 IDLE_SWEEP_INTERVAL_S = 0.25  # between two sweeps that close connections idle for too long
 REUSE_SHARE = 0.8  # maximum idle time before reuse, as a share of the workers' idle time-out
 REUSE_REDUCTION = 0.7  # a reused connection that breaks reduces the limit to this share of its idle time
 REUSE_GROWTH = 1.02  # a reused connection that works raises the limit by this factor
 EXCHANGE_TIMEOUT_S = 0.5  # for a probe or a withdrawal
+UNOWNED_WITHDRAWAL_S = 2.0  # how long the withdrawal of a job of an earlier process is retried
 MAX_KEPT_ANSWER_BYTES = 8 * 1024  # of a worker's answer: a load report, or the text of an error
 
 
@@ -109,7 +111,8 @@
         """
         host = self.host_of(number)
         if host is not None and request.isascii() and request.isprintable() and " " not in request:
-            await self.attempts.withdraw(host, request)
+            until = self.timers.now() + UNOWNED_WITHDRAWAL_S
+            await self.attempts.withdrawals.run(Withdrawal(request, host, until))
 
     # ---- the list ------------------------------------------------------------------------------------------
 
--- a/beaconhinge/policy/dispatcher.py
+++ b/beaconhinge/policy/dispatcher.py
@@ -170,6 +170,7 @@
         self.gossip.record(self.context.now, worker.key, ended, round(request.slots))
         self.membership.close_idle_connections(worker)
         attempt.never_ran = event.outcome in PROVEN_UNRUN
+        attempt.withdrawal_pending = event.withdrawal_pending
         if event.settled:
             request.answered = True
             self.requests.cancel_attempts(request)
@@ -182,6 +183,13 @@
                 self.placement.retry(request)
         self.placement.serve_queued(freed_worker=worker)
 
+    def on_attempt_released(self, event: interface.AttemptReleased) -> None:
+        """Record that a worker holds a given-up attempt no more; a queued request may be sent to it again."""
+        found = self.requests.find_attempt(event.request, event.attempt)
+        if found is not None:
+            found[1].withdrawal_pending = False
+            self.placement.serve_queued()
+
     def on_progress(self, event: interface.ProgressNotice) -> None:
         """Record that a worker has reported the start or the progress of a job."""
         self.progress.record(event)
@@ -250,6 +258,7 @@
         interface.SiblingLoad: on_sibling_load,
         interface.JobArrived: on_job,
         interface.AttemptEnded: on_outcome,
+        interface.AttemptReleased: on_attempt_released,
         interface.ProgressNotice: on_progress,
         interface.StreamStarted: on_request_over,
         interface.ClientDisconnected: on_request_over,
--- a/beaconhinge/policy/interface/__init__.py
+++ b/beaconhinge/policy/interface/__init__.py
@@ -30,6 +30,7 @@
 )
 from .events import (
     AttemptEnded,
+    AttemptReleased,
     ClientDisconnected,
     DeadlinePassed,
     Event,
@@ -52,6 +53,7 @@
     "Action",
     "AttemptEnded",
     "AttemptOutcome",
+    "AttemptReleased",
     "CancelAttempt",
     "ClientDisconnected",
     "DeadlinePassed",
--- a/beaconhinge/policy/interface/events.py
+++ b/beaconhinge/policy/interface/events.py
@@ -113,6 +113,17 @@
     latency: float = 0.0
     load: Mapping[str, float] | None = None
     detail: int = 0
+    # Whether the attempt was given up and its worker may still hold the job; then `AttemptReleased` follows
+    # once it does not. Not in the simulator's protocol.
+    withdrawal_pending: bool = False
+
+
+@dataclass(slots=True)
+class AttemptReleased:
+    """The worker of a given-up attempt does not hold its job any more. Not in the simulator's protocol."""
+
+    request: int
+    attempt: int
 
 
 @dataclass(slots=True)
@@ -170,6 +181,7 @@
     | ProgressNotice
     | StreamStarted
     | AttemptEnded
+    | AttemptReleased
     | ClientDisconnected
     | DeadlinePassed
     | PeerMessage
--- a/beaconhinge/policy/routing.py
+++ b/beaconhinge/policy/routing.py
@@ -151,12 +151,15 @@
     def _tried_workers(self, request: Request) -> list[Worker]:
         """Workers that must not get another attempt of the request.
 
-        These are the workers of the attempts in flight and of the last attempt; for an unsafe request all
-        that were tried, because a late answer to an earlier attempt would be taken as the end of the new one.
+        These are the workers of the attempts in flight, of those that were given up while the worker may
+        still hold the job, and of the last attempt; for an unsafe request all that were tried, because a late
+        answer to an earlier attempt would be taken as the end of the new one.
         """
         unsafe = request.request_class.semantics == Semantics.UNSAFE
         attempts = request.attempts
-        return [a.worker for a in attempts if unsafe or a.in_flight or a is attempts[-1]]
+        return [
+            a.worker for a in attempts if unsafe or a.in_flight or a.withdrawal_pending or a is attempts[-1]
+        ]
 
     def _prefer(self, weight: float, worker: Worker, request: Request) -> float:
         """Adjust a worker's weight by its reported load, its zone and the cost of a new connection."""
--- a/beaconhinge/standin/rig/faults.py
+++ b/beaconhinge/standin/rig/faults.py
@@ -68,6 +68,7 @@
             "spoil": partial(self._spoil_answers, fault, numbers),
             "reload": partial(self._reload, numbers),
             "workers": partial(self._break_worker, fault),
+            "lost-messages": partial(self._lose_messages, fault),
             "reads": partial(self._fail_reads, fault, numbers),
             "drain-at-read": partial(self._drain_at_reads, fault, numbers),
             "flood": partial(self._flood, fault, numbers),
@@ -330,6 +331,17 @@
         worker.fault = None
         return worker.fault_hits - hits_before
 
+    async def _lose_messages(self, fault: Fault) -> int:
+        """Lose messages between all workers and the dispatchers for the fault's duration. Return how many."""
+        workers = self.topology.workers
+        lost_before = sum(worker.lost_messages for worker in workers)
+        for worker in workers:
+            worker.lost_message = fault.lost_message
+        await asyncio.sleep(fault.duration_s)
+        for worker in workers:
+            worker.lost_message = None
+        return sum(worker.lost_messages for worker in workers) - lost_before
+
 
 def _can_restart(process: Process, fault: Fault) -> bool:
     """Return whether this fault ends and restarts the process.
--- a/beaconhinge/standin/rig/hostile_soak.py
+++ b/beaconhinge/standin/rig/hostile_soak.py
@@ -7,7 +7,7 @@
 
 import random
 
-from ..workers import WorkerFault
+from ..workers import LostMessage, WorkerFault
 from .floods import Flood
 from .scenario import Fault, Scenario
 
@@ -41,6 +41,7 @@
                 flood=rng.choice(list(Flood)),
             )
         )
+    faults += _draw_lost_messages(seed)
     return Scenario(
         f"hostile soak of {processes}",
         seed=seed,
@@ -67,3 +68,18 @@
         memory_mb=rng.choice(MEMORY_MB),
         faults=faults,
     )
+
+
+def _draw_lost_messages(seed: int) -> list[Fault]:
+    """Draw losses of messages between workers and dispatchers, beside a worker that hangs.
+
+    The jobs of a worker that hangs are copied and then withdrawn. The draw is one of its own, so that the
+    other faults of a seed stay the same.
+    """
+    rng = random.Random(f"{seed}/hostile/lost messages")
+    faults = [
+        Fault(rng.uniform(1.0, 8.0), "lost-messages", rng.uniform(0.5, 3.0), lost_message=lost)
+        for lost in LostMessage
+    ]
+    hang = Fault(rng.uniform(1.0, 6.0), "workers", rng.uniform(0.5, 3.0), worker_fault=WorkerFault.HANG)
+    return [*faults, hang]
--- a/beaconhinge/standin/rig/judge.py
+++ b/beaconhinge/standin/rig/judge.py
@@ -238,11 +238,21 @@
 
 
 def _broken_by_sends(run: FinishedRun) -> list[str]:
-    """Find sends to draining workers, with overstated deadlines, or after the client's disconnect."""
+    """Find sends to draining workers, with overstated deadlines, after a disconnect, or beside another."""
     deadlines = [deadline for worker in run.topology.workers for deadline in worker.deadlines]
     overstatements = overstated_deadlines(run.clients.attempts, deadlines, DEADLINE_SLACK_S)
     after_disconnect = attempts_after_disconnect(run.clients.attempts, deadlines, DISCONNECT_GRACE_S)
-    return [*_sent_to_draining(run), *overstatements[:MAX_EXAMPLES], *after_disconnect[:MAX_EXAMPLES]]
+    second_attempts = [
+        f"{worker.name} got a second attempt of {request} while it had the first"
+        for worker in run.topology.workers
+        for request in worker.second_attempts
+    ]
+    return [
+        *_sent_to_draining(run),
+        *overstatements[:MAX_EXAMPLES],
+        *after_disconnect[:MAX_EXAMPLES],
+        *second_attempts[:MAX_EXAMPLES],
+    ]
 
 
 def _broken_by_leases(run: FinishedRun) -> Iterator[str]:
--- a/beaconhinge/standin/rig/scenario.py
+++ b/beaconhinge/standin/rig/scenario.py
@@ -12,7 +12,7 @@
 
 from ...errors import Error
 from ..discovery import ReadFault, Spoil
-from ..workers import WorkerFault
+from ..workers import LostMessage, WorkerFault
 from .floods import Flood
 
 FaultKind = Literal[
@@ -33,6 +33,7 @@
     "drain-at-read",
     "flood",
     "crowded-discovery",
+    "lost-messages",
 ]
 SeriesSignal = Literal["TERM", "HUP", "USR1", "CONT"]
 DrawnKind = Literal["stop", "kill", "term", "cut", "lossy"]
@@ -76,6 +77,7 @@
         `reads`: Reads of the whole list from discovery are treated as the read fault says.
         `flood`: Bad clients send without end what a dispatcher must not keep, as the flood says.
         `crowded-discovery`: Each call to discovery waits for its turn for too long, and is refused then.
+        `lost-messages`: Messages between workers and dispatchers get lost.
         `drain-at-read`: The last workers drain in the list of each dispatcher just after its next read of the
             whole list.
 
@@ -95,6 +97,7 @@
         connections: For `crowd`, the number of connections tried at each dispatcher; for `flood`, that of the
             clients that flood it.
         flood: For `flood`, what is sent.
+        lost_message: For `lost-messages`, which messages.
         folder: For `kill`, the folder of the restarted process. `other` has a copy of another process's
             store, `old` has its own store as it was before the scenario.
     """
@@ -115,6 +118,7 @@
     signal_gap_s: float = 0.1
     connections: int = 100
     flood: Flood = Flood.HEADERS
+    lost_message: LostMessage = LostMessage.WITHDRAWAL
 
 
 class Scenario(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/beaconhinge/standin/workers.py
+++ b/beaconhinge/standin/workers.py
@@ -52,6 +52,12 @@
     DUPLICATE = "twice"  # answers each twice
 
 
+class LostMessage(enum.Enum):
+    """Which messages between a worker and the dispatchers get lost."""
+
+    WITHDRAWAL = "withdrawals"  # the connection is closed, and the job goes on
+
+
 @dataclass(frozen=True, slots=True)
 class ReceivedDeadline:
     """The time that an attempt gave a worker. Times are seconds by the stand-ins' clock.
@@ -107,6 +113,10 @@
         self._free_slots = asyncio.Semaphore(slots)
         self.fault: WorkerFault | None = None
         self.fault_hits = 0
+        self.lost_message: LostMessage | None = None
+        self.lost_messages = 0
+        # Ids of the requests of which another attempt arrived while the worker had the job of an earlier one.
+        self.second_attempts: list[str] = []
 
     def add_address(self, dispatcher: int) -> Server:
         """Add an address for one dispatcher, and return its server.
@@ -141,11 +151,22 @@
         if message.method == "GET":
             return http1.response(200 if path == "/alive" else 404)
         if message.method == "DELETE":
-            task = self.jobs.pop((callback_caller.port, path.rpartition("/")[2]), None)
-            if task is not None:
-                task.cancel()
-                self.counters["withdrawn"] += 1
-            return http1.response(204)
+            return self._withdraw(callback_caller, path.rpartition("/")[2])
+        return await self._take(callback_caller, message, path)
+
+    def _withdraw(self, callback_caller: Caller, request_id: str) -> bytes | None:
+        """Drop a job that the dispatcher has given up."""
+        if self.lost_message is LostMessage.WITHDRAWAL:
+            self.lost_messages += 1
+            return None
+        task = self.jobs.pop((callback_caller.port, request_id), None)
+        if task is not None:
+            task.cancel()
+            self.counters["withdrawn"] += 1
+        return http1.response(204)
+
+    async def _take(self, callback_caller: Caller, message: Message, path: str) -> bytes | None:
+        """Take a job or turn it away; returns the answer, or None to close the connection."""
         request_id = message.headers.get("x-request-id", "")
         if not request_id:
             return http1.response(404)
@@ -158,6 +179,8 @@
             if self.fault is WorkerFault.HANG:
                 await asyncio.Event().wait()
             return None
+        if (callback_caller.port, request_id) in self.jobs:
+            self.second_attempts.append(request_id)
         is_full = self.fault is WorkerFault.REJECT or len(self.jobs) >= self.slots + self.queue
         if is_full or (callback_caller.port, request_id) in self.jobs:
             self.counters["turned_away"] += 1
--- a/tests/cli/test_soak.py
+++ b/tests/cli/test_soak.py
@@ -17,7 +17,7 @@
 from beaconhinge.standin.rig.floods import Flood
 from beaconhinge.standin.rig.hostile_soak import draw_hostile_soak
 from beaconhinge.standin.rig.soak import LAST_FAULT_AT_S, SCENARIO_S, draw_soak, shrink
-from beaconhinge.standin.workers import WorkerFault
+from beaconhinge.standin.workers import LostMessage, WorkerFault
 
 KINDS = {
     "drain",
@@ -66,7 +66,9 @@
     assert all(scenario.problem() is None for scenario in scenarios)
     faults = [fault for scenario in scenarios for fault in scenario.faults]
     assert {fault.flood for fault in faults if fault.kind == "flood"} == set(Flood)
-    assert {fault.kind for fault in faults} == {"flood", "crowded-discovery", "workers"}
+    lost = [fault.lost_message for fault in faults if fault.kind == "lost-messages"]
+    assert set(lost) == set(LostMessage)
+    assert {fault.kind for fault in faults} == {"flood", "crowded-discovery", "workers", "lost-messages"}
 
 
 def test_failing_scenario_is_shrunk_to_the_faults_it_needs() -> None:
--- a/tests/standin/test_judge.py
+++ b/tests/standin/test_judge.py
@@ -2,14 +2,17 @@
 
 from __future__ import annotations
 
+import asyncio
 from types import SimpleNamespace
 from typing import Any
 
 import pytest
 
-from beaconhinge.standin.rig.judge import _notified_at, _own_stalls
+from beaconhinge.net.http1 import Message
+from beaconhinge.standin.rig.judge import _broken_by_sends, _notified_at, _own_stalls
 from beaconhinge.standin.rig.record import RunRecord
 from beaconhinge.standin.rig.verdict import ClientAttempt, describe_missing, over_memory_limit, wrongly_failed
+from beaconhinge.standin.workers import FakeWorker, LostMessage
 
 
 def run_with(record: RunRecord) -> Any:
@@ -76,3 +79,25 @@
     assert over_memory_limit({0: 63 * mb, 1: 97 * mb, 2: 64 * mb}, 64) == [
         "dispatcher 1 had 97 MB of memory, its limit being 64 MB"
     ]
+
+
+def test_a_second_attempt_beside_the_first_breaks_a_rule() -> None:
+    # Guards against stand-in workers that turn away what must not reach them, without a word (review/10).
+    worker = FakeWorker("s-1", 1, {"render": 60.0})
+    run = run_with(RunRecord())
+    run.topology.workers = [worker]
+    run.clients = SimpleNamespace(attempts=[])
+
+    async def send_twice_withdraw_and_send_again() -> None:
+        job = Message("POST", b"/render", headers={"x-request-id": "r1", "x-timeout-ms": "1000"})
+        withdrawal = Message("DELETE", b"/jobs/r1")
+        worker.lost_message = LostMessage.WITHDRAWAL
+        for message in (job, withdrawal, job):
+            await worker._answer(worker.callers[0], message)
+        worker.lost_message = None
+        for message in (withdrawal, job):
+            await worker._answer(worker.callers[0], message)
+        await worker.server.stop()
+
+    asyncio.run(send_twice_withdraw_and_send_again())
+    assert _broken_by_sends(run) == ["s-1 got a second attempt of r1 while it had the first"]
