Golden tests end their stand-ins, which took memory beside tests that measure it

Cause, by a trace: in 5 of 5 plays of tests/golden with test_kept_memory.py in one process a test of memory failed, with 12 to 14 threads of RecordingServer alive. The process of slow_messages ran until the end of the session, its discovery never answered, and each of its new calls started a thread in the process of the tests that never ended (Event().wait()). tracemalloc shows the bytes over the bound to be those threads'.

Change: close() ends and joins the threads of a server; a script that waits waits for it as well. They are one group of xdist, so that they do not alternate with other tests in a worker. No bound is changed.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -13,6 +13,8 @@
 settings.register_profile("same", derandomize=True, deadline=None)
 settings.load_profile("same")
 
+GOLDEN_TESTS = Path(__file__).parent / "golden"
+
 
 def _starts_processes(module: ModuleType) -> bool:
     """Return whether a test module imports anything that starts processes or servers of the program."""
@@ -43,12 +45,16 @@
 
 
 def pytest_collection_modifyitems(config: pytest.Config, items: list[pytest.Item]) -> None:
-    """Mark the known failures, and put all tests that start processes of the program into one group of xdist.
+    """Mark the known failures, and put all tests that start processes of the program into groups of xdist.
 
-    Tests of this group run one after the other, beside the rest. Two at a time would take processor time from
-    each other, and their clients would time out.
+    Tests of one group run one after the other, beside the rest. Two at a time would take processor time from
+    each other, and their clients would time out. The golden tests are a group of their own: they share a
+    process and stand-ins, which end with the last of them, and so never run on beside a test that measures
+    the memory of its process.
     """
     known_red.mark(items, _known_red(config), config.rootpath)
     for item in items:
-        if _starts_processes(item.module):  # type: ignore[attr-defined]
+        if item.path.parent == GOLDEN_TESTS:
+            item.add_marker(pytest.mark.xdist_group("golden"))
+        elif _starts_processes(item.module):  # type: ignore[attr-defined]
             item.add_marker(pytest.mark.xdist_group("processes"))
--- a/tests/golden/golden_process.py
+++ b/tests/golden/golden_process.py
@@ -25,6 +25,7 @@
 ROOT = Path(__file__).resolve().parents[2]
 MAX_WAIT_S = 20.0  # for each wait; long enough for a machine under load
 HOST = "127.0.0.1"
+THREAD_NAME = "golden stand-in"
 
 SETTINGS: dict[str, Any] = {
     "groupSize": 1,
@@ -158,7 +159,11 @@
 class RecordingServer:
     """A worker or discovery: records the bytes of each request, and sends the answer that its script returns.
 
-    If the script returns None, the connection is closed.
+    If the script returns None, the connection is closed. No thread outlives `close`: one that did would go on
+    taking memory in the tests that follow in this process, some of which measure it.
+
+    Attributes:
+        closing: Set by `close`; a script that waits has to wait for this as well.
     """
 
     def __init__(self, script: Callable[[bytes], bytes | None]) -> None:
@@ -166,17 +171,28 @@
         self.received: queue.Queue[bytes] = queue.Queue()
         self._listener = socket.create_server((HOST, 0), backlog=64)
         self.port: int = self._listener.getsockname()[1]
-        self._open: set[socket.socket] = set()
-        threading.Thread(target=self._accept, daemon=True).start()
+        self.closing = threading.Event()
+        self._open: dict[threading.Thread, socket.socket] = {}
+        self._accepting = threading.Thread(target=self._accept, name=THREAD_NAME, daemon=True)
+        self._accepting.start()
 
     def _accept(self) -> None:
         with contextlib.suppress(OSError):
-            while True:
+            while not self.closing.is_set():
                 connection, _ = self._listener.accept()
-                self._open.add(connection)
-                threading.Thread(target=self._serve, args=(connection,), daemon=True).start()
+                thread = threading.Thread(
+                    target=self._serve, args=(connection,), name=THREAD_NAME, daemon=True
+                )
+                self._open[thread] = connection
+                thread.start()
 
     def _serve(self, connection: socket.socket) -> None:
+        try:
+            self._answer_requests(connection)
+        finally:
+            del self._open[threading.current_thread()]
+
+    def _answer_requests(self, connection: socket.socket) -> None:
         with contextlib.suppress(OSError), connection:
             while message := read_message(connection):
                 self.received.put(message)
@@ -190,13 +206,17 @@
         return self.received.get(timeout=MAX_WAIT_S)
 
     def close(self) -> None:
-        """Close the listener and all connections."""
+        """Close the listener and all connections, and wait for their threads to end."""
+        self.closing.set()
         with contextlib.suppress(OSError):
             self._listener.shutdown(socket.SHUT_RDWR)
+        self._accepting.join(MAX_WAIT_S)
         self._listener.close()
-        for connection in list(self._open):
+        for thread, connection in list(self._open.items()):
             with contextlib.suppress(OSError):
                 connection.shutdown(socket.SHUT_RDWR)
+            thread.join(MAX_WAIT_S)
+            assert not thread.is_alive(), "a stand-in's script does not end with its server"
 
 
 def host(name: str, port: int, **changes: Any) -> dict[str, Any]:
@@ -235,11 +255,18 @@
         self._list = host_list(self.version, servers)
         self._listed.set()
 
-    def _answer(self, message: bytes) -> bytes:
+    def _answer(self, message: bytes) -> bytes | None:
         if b"?" in message and b"wait=0" not in message:
-            threading.Event().wait()
+            self.closing.wait()
+            return None
         self._listed.wait()
-        return self._list
+        return None if self.closing.is_set() else self._list
+
+    def close(self) -> None:
+        """Close the listener and all connections, those that wait for a list among them."""
+        self.closing.set()
+        self._listed.set()
+        super().close()
 
 
 class Process:
