A repeated call-back no longer ends a later attempt at the same worker

Cause: a call-back names request and worker, not the attempt. A repeat about an earlier attempt was taken for the end of the one in flight there.

Change: a job with a key goes to no worker again that took it; a worker that answered otherwise may get it again, as the last one tried too if none is left. For jobs that may be repeated, an end that an earlier attempt there may have sent ends the attempt as connection_lost, and the job is withdrawn before it goes on. The monitor keeps, by worker, which ends may be repeated. An unowned job is not withdrawn while its request is open.

--- a/beaconhinge/dispatch/attempt.py
+++ b/beaconhinge/dispatch/attempt.py
@@ -48,8 +48,8 @@
 
     at_worker: int
     """Number of attempts whose job the same worker may hold."""
-    closed_at_worker: Sequence[Attempt]
-    """The attempts at the same worker whose connection ended before the worker's answer."""
+    callers_at_worker: Sequence[Attempt]
+    """The ended attempts at the same worker of which call-backs may still come, the first time or again."""
     in_flight: int
     """Number of attempts in flight at any worker."""
     may_have_run: bool
@@ -73,6 +73,10 @@
         withdrawal_pending: Whether the attempt was given up and its worker may still hold the job.
         closed_unanswered: Whether its connection ended before the worker's answer, and the worker has not
             confirmed since that it does not hold the job.
+        reported_outcome: The outcome that a call-back of the worker reported; None if none did.
+        end_is_uncertain: Whether that call-back may be about an earlier attempt, and the job may run on.
+        may_call_back: Whether it has ended, and its worker took the job or may have: call-backs about it may
+            come, the first time or again.
         on_end: Called once with the outcome; set by the transport.
         timer: Ends the attempt at `expires_at`.
     """
@@ -100,6 +104,9 @@
         self.written_to: MemberEntry | None = None
         self.withdrawal_pending = False
         self.closed_unanswered = False
+        self.reported_outcome: AttemptOutcome | None = None
+        self.end_is_uncertain = False
+        self.may_call_back = False
         self.on_end: Callable[[AttemptOutcome], None] = _ignore_end
         self.timer: Timer | None = None
         self._post_event = post_event
--- a/beaconhinge/dispatch/invariants.py
+++ b/beaconhinge/dispatch/invariants.py
@@ -84,6 +84,9 @@
     deadline_s: float
     rule: RepeatRule
     possible_runs: list[_MonitoredAttempt] = field(default_factory=list)  # written, and not known as unrun
+    # By worker: the ends of its earlier attempts that it reported, and may report again; None for one that
+    # was given up, which may report any.
+    reportable_ends: dict[str, set[str | None]] = field(default_factory=dict)
     client_gone_s: float | None = None  # time of the client's disconnect
 
 
@@ -185,8 +188,37 @@
             self._on_violation(InvariantRule.DEADLINE, request, worker, why)
         monitored.possible_runs.append(attempt)
 
+    def attempt_given_up(self, request: str, worker: str) -> None:
+        """Record that an attempt was given up, or its connection lost; the worker may still have the job.
+
+        `attempt_ended` follows when the worker has confirmed that it has not.
+        """
+        monitored = self._requests.get(request)
+        if monitored is not None:
+            monitored.reportable_ends.setdefault(worker, set()).add(None)
+
+    def attempt_called_back(self, request: str, worker: str, end: str, never_ran: bool) -> None:
+        """Record that a worker has called back to report the end of an attempt.
+
+        A report that may be about an earlier attempt there says nothing of the one in flight.
+
+        Args:
+            request: The request's id.
+            worker: The worker's id.
+            end: How the attempt ended by the report, in any words; equal for equal reports.
+            never_ran: Whether the report says that the worker never ran the job.
+        """
+        monitored = self._requests.get(request)
+        if monitored is None:
+            return
+        ends = monitored.reportable_ends.setdefault(worker, set())
+        repeated = end in ends or None in ends
+        ends.add(end)
+        if not repeated:
+            self.attempt_ended(request, worker, never_ran)
+
     def attempt_ended(self, request: str, worker: str, never_ran: bool) -> None:
-        """Record that an attempt has ended or has been abandoned.
+        """Record that an attempt is known to have ended at its worker.
 
         Args:
             request: The request's id.
--- a/beaconhinge/dispatch/request.py
+++ b/beaconhinge/dispatch/request.py
@@ -330,7 +330,7 @@
         possible_runs = [other.written_to for other in written if other.open or other.may_have_run]
         return SiblingAttempts(
             at_worker=sum(other.held_by_worker for other in at_worker),
-            closed_at_worker=[other for other in at_worker if other.closed_unanswered],
+            callers_at_worker=[other for other in at_worker if other.may_call_back],
             in_flight=len(in_flight),
             may_have_run=any(other.may_have_run for other in others),
             first_possible_run=next(iter(possible_runs), None),
@@ -410,6 +410,7 @@
                 latency,
                 step.load,
                 withdrawal_pending=attempt.withdrawal_pending,
+                may_call_back=attempt.may_call_back,
             )
         )
 
--- a/beaconhinge/net/attempts.py
+++ b/beaconhinge/net/attempts.py
@@ -105,6 +105,17 @@
     return outcome in ABANDONED or outcome == AttemptOutcome.CONNECTION_LOST
 
 
+def _may_call_back(sent: SentAttempt, outcome: AttemptOutcome) -> bool:
+    """Return whether the worker of an attempt that has ended took the job, or may have.
+
+    A worker that answered otherwise than with 202, or that was not sent the whole request, has nothing to
+    report. How long it repeats a report whose answer gets lost is not known.
+    """
+    if sent.attempt.written_to is None or sent.status not in (None, STATUS_ACCEPTED):
+        return False
+    return sent.attempt.reported_outcome is not None or outcome not in PROVEN_UNRUN
+
+
 class AttemptSender:
     """Sends attempts to workers."""
 
@@ -161,12 +172,23 @@
                 task.cancel()
             else:
                 self.timers.after(LATE_ANSWER_TIMEOUT_S, task.cancel)
-        if sent.accepted and outcome in ABANDONED:
+        attempt.may_call_back = _may_call_back(sent, outcome)
+        self._report_end(sent, outcome)
+        if attempt.end_is_uncertain or (sent.accepted and outcome in ABANDONED):
             self._withdraw(sent)
         elif _closed_unanswered(sent, outcome):
             attempt.closed_unanswered = True
+
+    def _report_end(self, sent: SentAttempt, outcome: AttemptOutcome) -> None:
+        """Report to the send monitor what is known at the worker of an attempt that has ended."""
+        attempt, monitor = sent.attempt, self.policy_runner.monitor
+        request, worker = attempt.job.id, sent.host.id
+        if (reported := attempt.reported_outcome) is not None:
+            monitor.attempt_called_back(request, worker, reported, reported in PROVEN_UNRUN)
+        elif attempt.may_call_back:
+            monitor.attempt_given_up(request, worker)
         else:
-            self.policy_runner.monitor.attempt_ended(attempt.job.id, sent.host.id, outcome in PROVEN_UNRUN)
+            monitor.attempt_ended(request, worker, outcome in PROVEN_UNRUN)
 
     def _withdraw(self, sent: SentAttempt) -> None:
         """Withdraw a job; until the worker has confirmed it, it counts as held by the worker."""
@@ -186,7 +208,7 @@
         Raises:
             OSError: The worker has not confirmed it.
         """
-        closed = sent.attempt.siblings().closed_at_worker
+        closed = [caller for caller in sent.attempt.siblings().callers_at_worker if caller.closed_unanswered]
         if not closed:
             return
         request, host = sent.attempt.job.id, sent.host
--- a/beaconhinge/net/callbacks.py
+++ b/beaconhinge/net/callbacks.py
@@ -123,8 +123,35 @@
         elif state == JobState.DONE:
             # A result that is not a string raises here and is not served: the client must get exactly what
             # the worker returned.
-            attempt.end(AttemptOutcome.SERVED, callback.content["result"].encode(), load)
+            _end(attempt, AttemptOutcome.SERVED, callback.content["result"].encode(), load)
         elif isinstance(state, str) and state in OUTCOMES_WITHOUT_RESULT:
-            attempt.end(OUTCOMES_WITHOUT_RESULT[JobState(state)], load=load)
+            _end(attempt, OUTCOMES_WITHOUT_RESULT[JobState(state)], b"", load)
+            if attempt.end_is_uncertain:
+                self.metrics.count("callbacks_uncertain")
         else:
             raise ValueError(f"state {state!r} is unknown")
+
+
+def _end(attempt: Attempt, outcome: AttemptOutcome, body: bytes, load: Mapping[str, float] | None) -> None:
+    """End an attempt as a call-back reports it.
+
+    If the call-back may be about an earlier attempt, the job may run on: the outcome is then one after which
+    nothing is known, but for a result, which is that of the job whichever attempt ran.
+    """
+    attempt.reported_outcome = outcome
+    attempt.end_is_uncertain = _may_be_about_earlier(attempt, outcome)
+    if attempt.end_is_uncertain and outcome != AttemptOutcome.SERVED:
+        outcome = AttemptOutcome.CONNECTION_LOST
+    attempt.end(outcome, body, load)
+
+
+def _may_be_about_earlier(attempt: Attempt, outcome: AttemptOutcome) -> bool:
+    """Return whether a call-back that ends a job may be about an earlier attempt at the same worker.
+
+    A call-back names the request and the worker, not the attempt. A worker reports one end of each attempt,
+    and repeats it until it has read an answer.
+    """
+    return any(
+        earlier.reported_outcome in (None, outcome) or earlier.end_is_uncertain
+        for earlier in attempt.siblings().callers_at_worker
+    )
--- a/beaconhinge/net/recovery.py
+++ b/beaconhinge/net/recovery.py
@@ -73,7 +73,11 @@
     orphans_until = timers.now() + max(cls.deadline_s for cls in config.settings.classes)
 
     def may_be_wanted(request: str) -> bool:
-        """Whether a client may retry for its result, or another process of this dispatcher may have it."""
+        """Whether a client waits or may retry for its result, or another process may have the request."""
+        if (
+            request in requests.requests
+        ):  # the report may be about an earlier attempt, and another is under way
+            return True
         return upgrade is not None and upgrade.paired or keys is not None and keys.may_have(request)
 
     workers.on_unowned_job = OrphanedJobs(workers, timers, metrics, orphans_until, may_be_wanted).observe
--- a/beaconhinge/policy/dispatcher.py
+++ b/beaconhinge/policy/dispatcher.py
@@ -171,6 +171,7 @@
         self.membership.close_idle_connections(worker)
         attempt.never_ran = event.outcome in PROVEN_UNRUN
         attempt.withdrawal_pending = event.withdrawal_pending
+        attempt.may_call_back = event.may_call_back
         if event.settled:
             request.answered = True
             self.requests.cancel_attempts(request)
--- a/beaconhinge/policy/interface/events.py
+++ b/beaconhinge/policy/interface/events.py
@@ -116,6 +116,9 @@
     # Whether the attempt was given up and its worker may still hold the job; then `AttemptReleased` follows
     # once it does not. Not in the simulator's protocol.
     withdrawal_pending: bool = False
+    # Whether call-backs about the attempt may still come: its worker took the job, or may have. Not in the
+    # simulator's protocol.
+    may_call_back: bool = False
 
 
 @dataclass(slots=True)
--- a/beaconhinge/policy/request_table.py
+++ b/beaconhinge/policy/request_table.py
@@ -19,6 +19,7 @@
     in_flight: bool = True
     never_ran: bool = False  # whether it is proven that the job never started
     withdrawal_pending: bool = False  # whether it was given up and the worker may still hold the job
+    may_call_back: bool = False  # whether it has ended, and call-backs about it may still come
     in_flight_at_send: float = 0.0  # slots in use on the worker, with its own, as known at the send
     start_delay_s: float = 0.0  # seconds from the send to the start, where that is reported
     start_seen: bool = False  # whether a notice has shown that it started
--- a/beaconhinge/policy/routing.py
+++ b/beaconhinge/policy/routing.py
@@ -101,7 +101,7 @@
         self, pool: list[Worker], request: Request, demand_share: float
     ) -> tuple[list[Worker], list[float], list[Worker]]:
         """Return workers with free slots, their weights, and full workers with room in the own share."""
-        tried = self._tried_workers(request)
+        barred = self._barred_workers(request, pool) if request.attempts else ()
         skip_claim = self.claim_probability < 1 and self._context.random.random() >= self.claim_probability
         with_room: list[Worker] = []
         weights: list[float] = []
@@ -114,7 +114,7 @@
         speed_of, fleet_speed = self._stalls.speed_of, self._stalls.fleet_speed
         accept_slow = self._context.now >= request.start_by
         for worker in pool:
-            if worker in tried or not self.is_eligible(worker, request):
+            if worker in barred or not self.is_eligible(worker, request):
                 continue
             if skip_claim and worker is not self.freed_worker and not slow_start.is_cold(worker):
                 continue
@@ -148,18 +148,22 @@
         own = (w for w in self._workers.recently_answered if w.listed and kind in (ALL_KINDS, w.kind))
         return list(dict.fromkeys([*own, *self._context.random.choices(pool, k=SAMPLE_SIZE)]))
 
-    def _tried_workers(self, request: Request) -> list[Worker]:
-        """Workers that must not get another attempt of the request.
+    def _barred_workers(self, request: Request, pool: list[Worker]) -> list[Worker]:
+        """Workers of the pool that must not get another attempt of a request that has had one.
 
-        These are the workers of the attempts in flight, of those that were given up while the worker may
-        still hold the job, and of the last attempt; for an unsafe request all that were tried, because a late
-        answer to an earlier attempt would be taken as the end of the new one.
+        These are the workers that have the job or may have it, and the last one. Of an unsafe request they
+        are all that were tried. Of one with a key they are all that took it, because a late or repeated
+        call-back about the earlier attempt would be taken as the end of the new one, which runs on.
         """
-        unsafe = request.request_class.semantics == Semantics.UNSAFE
-        attempts = request.attempts
-        return [
-            a.worker for a in attempts if unsafe or a.in_flight or a.withdrawal_pending or a is attempts[-1]
-        ]
+        attempts, semantics = request.attempts, request.request_class.semantics
+        unsafe, with_key = semantics == Semantics.UNSAFE, semantics == Semantics.DEDUPLICATED
+        callers = [a.worker for a in attempts if with_key and a.may_call_back]
+        barred = [a.worker for a in attempts if unsafe or a.in_flight or a.withdrawal_pending]
+        barred += callers
+        last = attempts[-1].worker
+        # The last one did not take the job if it is no caller. It gets another chance if no other is left.
+        others_left = not callers or any(w is not last and w not in barred for w in pool)
+        return [*barred, last] if others_left else barred
 
     def _prefer(self, weight: float, worker: Worker, request: Request) -> float:
         """Adjust a worker's weight by its reported load, its zone and the cost of a new connection."""
--- a/beaconhinge/standin/rig/hostile_soak.py
+++ b/beaconhinge/standin/rig/hostile_soak.py
@@ -21,6 +21,7 @@
 SOCKETS = 512
 WORKERS = 8
 LOST_SHARE = 0.3
+RETURNED_SHARE = 0.2
 
 
 def draw_hostile_soak(seed: int, processes: int) -> Scenario:
@@ -54,6 +55,7 @@
         keyed=0.4,
         keyed_attempts=1,
         lost_share=LOST_SHARE,
+        returned_share=RETURNED_SHARE,
         unsafe=0.1,
         render_s=0.1,
         publish_s=0.3,
--- a/beaconhinge/standin/rig/scenario.py
+++ b/beaconhinge/standin/rig/scenario.py
@@ -160,6 +160,7 @@
         memory_mb: Limit on the memory of each dispatcher, in megabytes. More breaks a rule.
         deduplication_window_s: Seconds in which a group of workers does not run a key again.
         lost_share: Share of the jobs with a key that workers start and then report as lost.
+        returned_share: Share of the attempts with a key that workers take and hand back unstarted.
         keyed_attempts: Most attempts of a client for a job with a key; 0 for no limit.
         system_calls: How system calls of every second process fail, as `shim.environment` takes it.
         drawn_faults: Number of further faults, of all kinds in DRAWN_KINDS, drawn from the seed [drawn].
@@ -200,6 +201,7 @@
     memory_mb: int = 192
     deduplication_window_s: float = 40.0
     lost_share: float = 0.0
+    returned_share: float = 0.0
     keyed_attempts: int = 0
 
     drawn_faults: int = msgspec.field(default=0, name="drawn")
--- a/beaconhinge/standin/rig/topology.py
+++ b/beaconhinge/standin/rig/topology.py
@@ -65,6 +65,7 @@
                 seed=scenario.seed,
                 deduplication_group=groups[number % scenario.deduplication_groups],
                 lost_share=scenario.lost_share,
+                returned_share=scenario.returned_share,
             )
             for number in range(scenario.workers)
         ]
--- a/beaconhinge/standin/workers.py
+++ b/beaconhinge/standin/workers.py
@@ -56,6 +56,7 @@
     """Which messages between a worker and the dispatchers get lost."""
 
     WITHDRAWAL = "withdrawals"  # the connection is closed, and the job goes on
+    CALLBACK_ANSWER = "answers to call-backs"  # each call-back is repeated as often as a worker may
 
 
 @dataclass(frozen=True, slots=True)
@@ -77,7 +78,8 @@
     """One worker.
 
     `mean_run_s` gives the mean run time in seconds by class. Run times are drawn from it and the seed.
-    `lost_share` is the share of the jobs with a key that are started and then reported as lost.
+    `lost_share` is the share of the jobs with a key that are started and then reported as lost,
+    `returned_share` that of their attempts that are handed back unstarted.
     """
 
     def __init__(
@@ -90,6 +92,7 @@
         seed: int = 0,
         deduplication_group: DeduplicationGroup | None = None,
         lost_share: float = 0.0,
+        returned_share: float = 0.0,
     ) -> None:
         self.name = name
         self.mean_run_s = mean_run_s
@@ -98,6 +101,7 @@
         self.random = random.Random(f"{seed}/{name}")
         self.deduplication_group = deduplication_group
         self.lost_share = lost_share
+        self.returned_share = returned_share
         # Servers and callers, one of each for each dispatcher.
         self.servers: list[Server] = []
         self.callers: list[Caller] = []
@@ -188,6 +192,9 @@
         self.counters["taken"] += 1
         self.arrivals.append((message.arrived_at, callback_caller.port))
         key = message.headers.get("idempotency-key", "")
+        if key and self.returned_share and self.random.random() < self.returned_share:
+            self.server.spawn(self._notify(callback_caller, request_id, "returned"))
+            return http1.response(202)
         now, group = asyncio.get_running_loop().time(), self.deduplication_group
         if key and group is not None and group.is_duplicate(key, now):
             self.counters["dropped"] += 1
@@ -237,7 +244,10 @@
             try:
                 answer = await callback_caller.call(http1.request("POST", b"/_jobs/news", headers, body))
                 if answer.status in (200, 204):
-                    return
+                    if self.lost_message is not LostMessage.CALLBACK_ANSWER:
+                        return
+                    self.lost_messages += 1
+                    await asyncio.sleep(CALLBACK_RETRY_S)
             except (OSError, Closed, BadMessage):
                 await asyncio.sleep(CALLBACK_RETRY_S)
         self.counters["untold"] += 1
--- a/tests/dispatch/test_invariants.py
+++ b/tests/dispatch/test_invariants.py
@@ -165,3 +165,35 @@
     history.monitor.attempt_started("r1", "w0", 101.0, 4000)  # no longer remembered
     history.monitor.attempt_started("r1", f"w{DEPARTED_WORKERS_KEPT}", 101.0, 4000)
     assert history.violations == [InvariantRule.DRAIN]
+
+
+@pytest.mark.parametrize("end", ["turned_away", "server_error", "connection_lost"])
+@pytest.mark.parametrize("earlier", ["given up", "called back"])
+def test_repeated_callback_taken_for_the_end_of_a_later_attempt_is_a_violation(
+    earlier: str, end: str
+) -> None:
+    """The fault planted: the job goes to another cell, or to the same worker, while it may run (review/8)."""
+    for next_worker in "ab":
+        history = History(RepeatRule(RepeatsAllowed.SAME_CELL, 40.0))
+        cells = [{"id": name, "state": "Ready", "addr": "x", "cell": name} for name in "ab"]
+        history.monitor.list_received({"version": 2, "full": True, "servers": cells}, 99.5)
+        history.monitor.attempt_started("r1", "a", 100.0, 5000)
+        if earlier == "called back":
+            history.monitor.attempt_called_back("r1", "a", end, never_ran=True)
+        else:
+            history.monitor.attempt_given_up("r1", "a")
+            history.monitor.attempt_ended("r1", "a", never_ran=True)
+        history.monitor.attempt_started("r1", "a", 101.0, 4000)
+        assert history.violations == []
+        history.monitor.attempt_called_back("r1", "a", end, never_ran=True)
+        history.monitor.attempt_started("r1", next_worker, 101.5, 3500)
+        assert history.violations == [InvariantRule.DUPLICATE]
+
+
+def test_callback_that_no_earlier_attempt_can_have_sent_ends_the_later_one() -> None:
+    history = History(RepeatRule(RepeatsAllowed.SAME_CELL, 40.0))
+    for end in ("turned_away", "server_error"):
+        history.monitor.attempt_started("r1", "a", 100.0, 5000)
+        history.monitor.attempt_called_back("r1", "a", end, never_ran=end == "turned_away")
+    history.monitor.attempt_started("r1", "a", 101.0, 4000)
+    assert history.violations == []
--- a/tests/net/test_withdrawals.py
+++ b/tests/net/test_withdrawals.py
@@ -6,140 +6,26 @@
 from __future__ import annotations
 
 import asyncio
-from collections import Counter
-from collections.abc import Callable, Coroutine
-from dataclasses import dataclass, field, replace
-from types import SimpleNamespace
-from typing import Any
+from dataclasses import replace
 
 import pytest
-from fake_pool import FakePool
-from helpers import members, settings
-from virtual_time import PausingClock, run_in_virtual_time
-
-from beaconhinge.dispatch.job import Job, RequestEnd
-from beaconhinge.dispatch.policy_runner import PolicyRunner
-from beaconhinge.dispatch.request import Request, RequestTable
-from beaconhinge.membership.inventory import WorkerEndpoint
-from beaconhinge.net.attempts import AttemptSender
-from beaconhinge.net.http1 import Closed, Message
-from beaconhinge.policy import interface
-from beaconhinge.policy.dispatcher import Dispatcher
-from beaconhinge.policy.interface import AttemptOutcome, NoticeKind, UpdateKind
-from beaconhinge.runtime.metrics import Metrics
-from beaconhinge.runtime.timer_wheel import TimerWheel
-
-DEADLINE_S = 20.0
-RETRYABLE_CLASS = 0
-EXCHANGE_S = 0.01
-POLL_S = 0.005
-
-
-@dataclass
-class WithdrawalPool(FakePool):
-    """Workers whose answers to withdrawals are `failure` until `confirmed_from_s`, and 204 from then on."""
-
-    failure: Message | AttemptOutcome = AttemptOutcome.NO_CONNECTION
-    confirmed_from_s: float = 0.0
-    confirmed: list[tuple[float, int]] = field(default_factory=list)  # time, number of the worker
-    breaks: bool = False  # whether a connection ends before the answer to the job
-
-    async def exchange(self, host: WorkerEndpoint, method: str, target: bytes) -> Message | AttemptOutcome:
-        assert (method, target) == ("DELETE", b"/jobs/a")
-        await asyncio.sleep(EXCHANGE_S)
-        if self.clock.now() < self.confirmed_from_s:
-            return self.failure
-        self.confirmed.append((self.clock.now(), host.member.worker))
-        return Message(status=204)
-
-    async def connection(self, host: WorkerEndpoint) -> Any:
-        connection = await super().connection(host)
-        if self.breaks:
-            connection.next = _end_of_stream
-        return connection
-
-
-async def _end_of_stream() -> Message:
-    raise Closed
-
-
-@dataclass
-class Scenario:
-    """A request, with the parts that serve it, on workers of numbers 100 and 101."""
-
-    clock: PausingClock
-    metrics: Metrics
-    runner: PolicyRunner
-    pool: WithdrawalPool
-    sender: AttemptSender
-    table: RequestTable
-    request: Request
-
-    def list_workers(self, entries: list[interface.MemberEntry]) -> None:
-        self.pool.list_members(entries)
-        self.runner.feed(interface.MembershipUpdate(UpdateKind.SNAPSHOT, 2, entries))
-
-    async def until(self, condition: Callable[[], bool], within_s: float = DEADLINE_S) -> None:
-        """Wait in virtual time until the condition holds."""
-        end = self.clock.now() + within_s
-        while not condition():
-            assert self.clock.now() < end, "not in time"
-            await asyncio.sleep(POLL_S)
-
-    def open_attempt(self) -> Any:
-        (sent,) = self.sender.open.values()
-        return sent.attempt
-
-    def broken(self) -> Counter[str]:
-        names = ("broken_", "invariant_", "task_")
-        return Counter({n: c for n, c in self.metrics.counters.items() if n.startswith(names)})
-
-
-def play(scenario: Callable[[Scenario], Coroutine[Any, Any, None]], **pool_fields: Any) -> Scenario:
-    """Play a scenario from the moment on at which the request is taken; return its final state."""
-    clock = PausingClock()
-    played: list[Scenario] = []
-
-    async def run() -> None:
-        metrics = Metrics(clock.now, writer=lambda event, fields: None)
-        timers = TimerWheel(clock.now, metrics.log_exception)
-        job_settings = settings(
-            requestClasses__0__hardLimit=str(DEADLINE_S),
-            requestClasses__0__aim="10",
-            policyLimits__mayDuplicate="true",
-            familyInfo__tellsStart="true",
-        )
-        runner = PolicyRunner(Dispatcher(job_settings, 1), timers, metrics)
-        pool = WithdrawalPool(clock, timers, 0.0, **pool_fields)
-        config: Any = SimpleNamespace(settings=job_settings)
-        load_reports: Any = SimpleNamespace(parse=lambda _text: None)
-        any_pool: Any = pool
-        sender = AttemptSender(config, any_pool, load_reports, runner, timers, metrics)
-        table = RequestTable(runner, sender, timers, metrics, job_settings, ["render", "publish", "transfer"])
-        runner.feed(interface.Start())
-        entries = members(2)
-        pool.list_members(entries)
-        runner.feed(interface.MembershipUpdate(UpdateKind.BOOTSTRAP, 1, entries))
-        job = Job("a", RETRYABLE_CLASS, 0, DEADLINE_S, clock.now(), b"/render", b"")
-        played.append(Scenario(clock, metrics, runner, pool, sender, table, table.take(job)))
-        await scenario(played[0])
-
-    run_in_virtual_time(clock, run())
-    return played[0]
+from attempt_scenario import POLL_S, Scenario, play
+from helpers import members
 
+from beaconhinge.dispatch.job import RequestEnd
+from beaconhinge.net.attempts import AttemptSender
+from beaconhinge.net.http1 import Message
+from beaconhinge.policy.interface import AttemptOutcome, NoticeKind
 
 NO_ANSWERS = (AttemptOutcome.NO_CONNECTION, AttemptOutcome.CONNECTION_LOST, AttemptOutcome.TIMEOUT)
-FAILURES = {
-    **{str(outcome): outcome for outcome in NO_ANSWERS},
-    **{str(status): Message(status=status) for status in (408, 429, 500, 503)},
-}
+UNCONFIRMED_STATUSES = (408, 429, 500, 503)
 
 
-@pytest.mark.parametrize("failure", FAILURES.values(), ids=FAILURES.keys())
+@pytest.mark.parametrize("failure", [*NO_ANSWERS, *UNCONFIRMED_STATUSES])
 @pytest.mark.parametrize("late_s", [0.0, 0.4, 1.0, 3.0])
 @pytest.mark.parametrize("second_fails_after_s", [0.0, 0.5, 1.5])
 def test_worker_gets_no_second_attempt_before_it_has_confirmed_the_withdrawal(
-    failure: Message | AttemptOutcome, late_s: float, second_fails_after_s: float
+    failure: AttemptOutcome | int, late_s: float, second_fails_after_s: float
 ) -> None:
     """Guards against a withdrawal that is never written, and counts as done from the decision on."""
 
@@ -161,7 +47,8 @@
         s.open_attempt().end(AttemptOutcome.SERVED, b"done")
         await s.request.answer
 
-    played = play(scenario, failure=failure, confirmed_from_s=1e9)
+    reply = Message(status=failure) if isinstance(failure, int) else failure
+    played = play(scenario, failure=reply, confirmed_from_s=1e9)
     assert played.request.answer.result().end is RequestEnd.SERVED
     assert not played.broken()
 
