Clients that stop in a later message give way, and are answered in time

Cause: only the first message of a connection had a short bound, and a part of any later one kept its connection from giving way to a newcomer.

Change: a later message may not be silent for 2.5 s (408), counted from when its last bytes reached the machine; 10 s in all as before. A connection whose message stands still for 1 s, or comes slower than 1 KiB/s after 2.5 s, gives way, after those that sent nothing and before those that are idle.

A verdict names the task that failed.

--- a/beaconhinge/net/client_connection.py
+++ b/beaconhinge/net/client_connection.py
@@ -7,13 +7,13 @@
 
 from ..runtime.metrics import Metrics
 from ..runtime.timer_wheel import TimerWheel
-from .client_table import LINGER_S, REQUEST_IN_TRANSIT_S, Client, ClientTable
-from .http1 import BadMessage, Closed, Message
+from .client_table import FIRST_MESSAGE_TIMEOUT_S, LINGER_S, REQUEST_IN_TRANSIT_S, Client, ClientTable
+from .http1 import BadMessage, Closed, Connection, Message
 from .request_router import Reply, error_response
 
 WRITE_TIMEOUT_S = 10.0  # for writing an answer, if the client reads slowly
-MESSAGE_TIMEOUT_S = 10.0  # from the first byte of a message to its last
-FIRST_MESSAGE_TIMEOUT_S = 2.5  # from connecting to the last byte of the first message; bounds unused sockets
+MESSAGE_TIMEOUT_S = 10.0  # from the first byte of a later message to its last
+MAX_SILENCE_S = 2.5  # between two pieces of a later message
 
 
 class ClientServer:
@@ -74,20 +74,44 @@
             BadMessage: The message was incomplete at its time-out.
             Closed: The connection has ended, or no byte of the first message has arrived by its time-out.
         """
-        connection, limit_s = client.connection, MESSAGE_TIMEOUT_S
+        connection = client.connection
         if client in self.clients.without_message:
-            limit_s = FIRST_MESSAGE_TIMEOUT_S
+            why = f"the message was not whole after {FIRST_MESSAGE_TIMEOUT_S:g} s"
+            message = await self._message_within(connection, FIRST_MESSAGE_TIMEOUT_S)
         else:
             await connection.begun()
-        for wait_s in (limit_s, REQUEST_IN_TRANSIT_S):
-            with contextlib.suppress(TimeoutError):
-                async with self.timers.timeout(wait_s):
-                    return await connection.next()
-            if connection.silent():  # otherwise this process was late, and received bytes are still unread
-                break
+            client.message_began_at = self.timers.now()
+            message, why = await self._later_message(connection)
+        if message is None and not connection.silent():
+            # This process was late, and received bytes are still unread.
+            message = await self._message_within(connection, REQUEST_IN_TRANSIT_S)
+        if message is not None:
+            return message
         if not connection.partial:
             raise Closed
-        raise BadMessage(408, f"the message was not whole after {limit_s:g} s")
+        raise BadMessage(408, why)
+
+    async def _later_message(self, connection: Connection) -> tuple[Message | None, str]:
+        """Return a message that has begun; or None and the reason, if its peer is quiet or takes too long."""
+        until = self.timers.now() + MESSAGE_TIMEOUT_S
+        # What has arrived may have waited to be read, as its connection waited to be accepted.
+        quiet_s = 0.0 if connection.settled else connection.seconds_quiet()
+        while quiet_s < MAX_SILENCE_S:
+            left_s = until - self.timers.now()
+            if left_s <= 0:
+                return None, f"the message was not whole after {MESSAGE_TIMEOUT_S:g} s"
+            message = await self._message_within(connection, min(MAX_SILENCE_S - quiet_s, left_s))
+            if message is not None:
+                return message, ""
+            quiet_s = connection.seconds_quiet()
+        return None, f"nothing more of the message came for {MAX_SILENCE_S:g} s"
+
+    async def _message_within(self, connection: Connection, wait_s: float) -> Message | None:
+        """Return the next message; None if it is not whole after `wait_s` seconds."""
+        with contextlib.suppress(TimeoutError):
+            async with self.timers.timeout(wait_s):
+                return await connection.next()
+        return None
 
     async def _answer_last(self, client: Client, data: bytes, frees_place: bool = False) -> None:
         """Write the last answer of a connection, and give the peer LINGER_S to read it and to close."""
--- a/beaconhinge/net/client_table.py
+++ b/beaconhinge/net/client_table.py
@@ -2,14 +2,18 @@
 
 from __future__ import annotations
 
-from itertools import chain
-
 from ..runtime.metrics import Metrics
 from ..runtime.timer_wheel import TimerWheel
 from .http1 import Connection
 
 LINGER_S = 1.0  # time that a peer has to read its last answer and close the connection
-REQUEST_IN_TRANSIT_S = 0.1  # how long after connecting, or after an answer, a request may still be in transit
+REQUEST_IN_TRANSIT_S = 0.1  # how long after connecting, or an answer, a request may still be in transit
+# A connection with an incomplete message gives way to a newcomer if its peer has been quiet for so long, or
+# is slower than this once the message has taken as long as a first one may. A client that sends a large body
+# at a steady pace is faster.
+QUIET_S = 1.0
+MIN_PACE_BYTES_PER_S = 1024
+FIRST_MESSAGE_TIMEOUT_S = 2.5  # from connecting to the last byte of the first message; bounds unused sockets
 
 
 class Client:
@@ -20,6 +24,8 @@
         answering: Whether an answer is being prepared or written.
         sends_callbacks: Whether the peer is a worker.
         is_shut_down: Whether our side is shut down. Later messages are ignored; the client must resend them.
+        message_began_at: When the first byte of the message that is read, or was read last, was noticed,
+            in seconds; not set for the first message.
     """
 
     def __init__(self, connection: Connection) -> None:
@@ -28,6 +34,19 @@
         self.answering = False
         self.sends_callbacks = False
         self.is_shut_down = False
+        self.message_began_at = 0.0
+
+    def has_stalled(self, now: float) -> bool:
+        """Whether the peer has sent a part of a message and is quiet or slow, so that others go first."""
+        if self.answering or not self.connection.partial or not self.connection.silent():
+            return False
+        if self.connection.seconds_quiet() >= QUIET_S:
+            return True
+        elapsed_s = now - self.message_began_at
+        return (
+            elapsed_s >= FIRST_MESSAGE_TIMEOUT_S
+            and self.connection.received < elapsed_s * MIN_PACE_BYTES_PER_S
+        )
 
     @property
     def idle(self) -> bool:
@@ -84,24 +103,41 @@
         self.closing.discard(client)
 
     def close_one(self) -> bool:
-        """Close an idle connection that has sent no complete message, or else the least recently used one.
+        """Close one connection for a newcomer: one that has sent no complete message, stalls or is idle.
 
-        A connection that was accepted or used less than REQUEST_IN_TRANSIT_S ago is kept, as is a connection
-        that awaits an answer or has unread bytes.
+        They go in this order, and of each kind the least recently used one first. A connection that was
+        accepted or used less than REQUEST_IN_TRANSIT_S ago is kept, as is a connection that awaits an answer
+        or has unread bytes.
 
         Returns:
             Whether a connection was closed.
         """
-        idle_since = self.timers.now() - REQUEST_IN_TRANSIT_S
-        for client in chain(self.without_message, self.clients):
+        now = self.timers.now()
+        client = self._find_to_close(now)
+        if client is None:
+            return False
+        self.metrics.count("connections_closed_for_room")
+        if client.connection.partial:
+            self.metrics.count("connections_closed_stalled")
+        self.remove_open(client)
+        client.connection.close()
+        return True
+
+    def _find_to_close(self, now: float) -> Client | None:
+        used_before = now - REQUEST_IN_TRANSIT_S
+        for client in self.without_message:
             # An unread request counts as received: only a connection without unread bytes is closed.
-            quiet = client.connection.silent() if client in self.without_message else client.idle
-            if client.connection.used_at < idle_since and quiet:
-                self.remove_open(client)
-                client.connection.close()
-                self.metrics.count("connections_closed_for_room")
-                return True
-        return False
+            if client.connection.used_at < used_before and client.connection.silent():
+                return client
+        idle: Client | None = None
+        for client in self.clients:
+            if client.connection.used_at >= used_before or client in self.without_message:
+                continue
+            if client.has_stalled(now):
+                return client
+            if idle is None and client.idle:
+                idle = client
+        return idle
 
     def end_idle(self, with_message_only: bool = False) -> None:
         """Shut down the idle connections of clients.
--- a/beaconhinge/net/http1.py
+++ b/beaconhinge/net/http1.py
@@ -259,6 +259,10 @@
         """Return whether nothing waits to be read or taken, not even the end of the peer's stream."""
         return not self._parser.inbox and self._peek() is None
 
+    def seconds_quiet(self) -> float:
+        """Return the seconds since the last bytes of the peer arrived at this machine, read or not."""
+        return sockets.seconds_since_data_arrived(self.sock)
+
     def is_closed(self) -> bool:
         """Return whether we or the peer have closed the connection, even if its end was not read yet."""
         return not self._open or self._peek() == b""
--- a/beaconhinge/standin/rig/clients.py
+++ b/beaconhinge/standin/rig/clients.py
@@ -13,7 +13,7 @@
 from ...net.http1 import BadMessage, Closed, Message
 from ..http import Caller
 from .scenario import Scenario
-from .verdict import ClientAttempt
+from .verdict import TIME_OUT_PASSED, ClientAttempt
 
 # Seconds after an attempt's time-out when its answer counts as missing.
 ANSWER_GRACE_S = 2.0
@@ -152,7 +152,7 @@
             if disconnects:
                 attempt.outcome, attempt.disconnected_at = "left", time.monotonic()
             else:
-                attempt.missing_why = "the client's time-out passed"
+                attempt.missing_why = TIME_OUT_PASSED
         except NoDispatcherError:
             attempt.outcome = "nobody"
         except (OSError, Closed, BadMessage) as error:
--- a/beaconhinge/standin/rig/faults.py
+++ b/beaconhinge/standin/rig/faults.py
@@ -23,6 +23,10 @@
 ORPHANS_COUNTED_AFTER_S = 2.0
 LINK_FAULT_POLL_S = 0.02
 # Seconds from a read of the whole list to a change of that list. If the read follows a watch's answer, the
+# A message that is answered with an error, and the beginning of another.
+WHOLE_AND_HALF_MESSAGE = (
+    b"GET /nothing HTTP/1.1\r\n\r\nPOST /render HTTP/1.1\r\nContent-Length: 100\r\n\r\nhalf"
+)
 # change falls within the 0.2 s in which changes count as notified.
 CHANGE_AFTER_READ_S = 0.05
 # A job as a worker identifies it: the port of its dispatcher, and the request's id.
@@ -123,17 +127,21 @@
         return len(ending)
 
     async def _open_idle_connections(self, fault: Fault, numbers: list[int]) -> int:
-        """Hold idle connections to dispatchers for the fault's duration. Return how many were opened."""
+        """Hold connections to dispatchers for the fault's duration. Return how many were opened.
+
+        Their clients are idle, or stop in the middle of their second message.
+        """
         began = time.monotonic()
         async with contextlib.AsyncExitStack() as connections:
             opened = 0
             for number in numbers:
                 for _ in range(fault.connections):
                     with contextlib.suppress(OSError):
-                        connections.callback(
-                            (await connect(("127.0.0.1", self.topology.ports[number]))).close
-                        )
+                        sock = await connect(("127.0.0.1", self.topology.ports[number]))
+                        connections.callback(sock.close)
                         opened += 1
+                        if fault.half_sent:
+                            sock.send(WHOLE_AND_HALF_MESSAGE)
             await asyncio.sleep(fault.duration_s)
         for number in numbers:
             self.record.crowded_spans.setdefault(number, []).append((began, time.monotonic()))
--- a/beaconhinge/standin/rig/hostile_soak.py
+++ b/beaconhinge/standin/rig/hostile_soak.py
@@ -22,6 +22,7 @@
 WORKERS = 8
 LOST_SHARE = 0.3
 RETURNED_SHARE = 0.2
+STALLED_CLIENTS = 450
 
 
 def draw_hostile_soak(seed: int, processes: int) -> Scenario:
@@ -42,7 +43,7 @@
                 flood=rng.choice(list(Flood)),
             )
         )
-    faults += _draw_lost_messages(seed)
+    faults += [*_draw_lost_messages(seed), _draw_stalled_clients(seed, processes)]
     return Scenario(
         f"hostile soak of {processes}",
         seed=seed,
@@ -85,3 +86,14 @@
     ]
     hang = Fault(rng.uniform(1.0, 6.0), "workers", rng.uniform(0.5, 3.0), worker_fault=WorkerFault.HANG)
     return [*faults, hang]
+
+
+def _draw_stalled_clients(seed: int, processes: int) -> Fault:
+    """Draw a crowd whose clients stop in the middle of a message, more of them than a dispatcher has places.
+
+    The draw is one of its own, so that the other faults of a seed stay the same.
+    """
+    rng = random.Random(f"{seed}/hostile/stalled clients")
+    dispatchers = [rng.randrange(processes)]
+    at = rng.uniform(1.0, 6.0)
+    return Fault(at, "crowd", 6.0, dispatchers, connections=STALLED_CLIENTS, half_sent=True)
--- a/beaconhinge/standin/rig/judge.py
+++ b/beaconhinge/standin/rig/judge.py
@@ -13,6 +13,7 @@
 from .record import FinishedRun, RunRecord
 from .verdict import (
     MB_BYTES,
+    TIME_OUT_PASSED,
     ClientAttempt,
     Verdict,
     attempts_after_disconnect,
@@ -212,6 +213,11 @@
     for name, count in counters.items():
         if name == "task_failed" or name.startswith(("broken_", "invariant_violations_")):
             yield f"{name}: {count}"
+    for process in run.topology.processes:
+        for line in process.log_lines:
+            if line["event"] == "task_failed":
+                failure = f"{line.get('task')}: {line.get('error')} ({line.get('at')})"
+                yield f"dispatcher {process.number} had a failed task, {failure}"
 
 
 def _broken_by_shutdowns(run: FinishedRun) -> Iterator[str]:
@@ -229,9 +235,11 @@
 def _may_be_closed_by_crowd(run: FinishedRun, attempt: ClientAttempt) -> bool:
     """Return whether the dispatcher may have closed the attempt's connection unread, to make room.
 
-    That happens while a crowd of idle clients holds connections. A request that reached a worker had been
-    read.
+    That happens while a crowd of clients holds connections. A request that reached a worker had been read,
+    and one whose client waited until its time-out had not been closed: it was kept out.
     """
+    if attempt.missing_why == TIME_OUT_PASSED:
+        return False
     spans = run.record.crowded_spans.get(attempt.dispatcher, [])
     overlaps = any(begun <= attempt.ended_at and attempt.sent_at <= ended for begun, ended in spans)
     return overlaps and not run.topology.has_reached_worker(attempt.request_id)
--- a/beaconhinge/standin/rig/scenario.py
+++ b/beaconhinge/standin/rig/scenario.py
@@ -73,7 +73,7 @@
         `spoil`: Answers of discovery are spoilt.
         `reload`: SIGHUP.
         `workers`: The last worker that has no fault yet treats its jobs as the worker fault says.
-        `crowd`: Idle clients hold as many connections as they get.
+        `crowd`: Clients that are idle, or stop in a message, hold as many connections as they get.
         `reads`: Reads of the whole list from discovery are treated as the read fault says.
         `flood`: Bad clients send without end what a dispatcher must not keep, as the flood says.
         `crowded-discovery`: Each call to discovery waits for its turn for too long, and is refused then.
@@ -96,6 +96,7 @@
         signal_gap_s: Seconds from SIGTERM to the first of `signals`, and between two of them.
         connections: For `crowd`, the number of connections tried at each dispatcher; for `flood`, that of the
             clients that flood it.
+        half_sent: For `crowd`, whether its clients send a whole message and stop in the middle of another.
         flood: For `flood`, what is sent.
         lost_message: For `lost-messages`, which messages.
         folder: For `kill`, the folder of the restarted process. `other` has a copy of another process's
@@ -117,6 +118,7 @@
     signals: list[SeriesSignal] = msgspec.field(default_factory=list)
     signal_gap_s: float = 0.1
     connections: int = 100
+    half_sent: bool = False
     flood: Flood = Flood.HEADERS
     lost_message: LostMessage = LostMessage.WITHDRAWAL
 
--- a/beaconhinge/standin/rig/verdict.py
+++ b/beaconhinge/standin/rig/verdict.py
@@ -18,6 +18,8 @@
 # The status that reports a job as failed though it may have run.
 FAILED = "502"
 MB_BYTES = 1024 * 1024
+# Why an attempt has no answer, if its connection stayed open.
+TIME_OUT_PASSED = "the client's time-out passed"
 
 
 class ClientAttempt(msgspec.Struct):
--- a/tests/cli/test_soak.py
+++ b/tests/cli/test_soak.py
@@ -68,7 +68,14 @@
     assert {fault.flood for fault in faults if fault.kind == "flood"} == set(Flood)
     lost = [fault.lost_message for fault in faults if fault.kind == "lost-messages"]
     assert set(lost) == set(LostMessage)
-    assert {fault.kind for fault in faults} == {"flood", "crowded-discovery", "workers", "lost-messages"}
+    assert {fault.kind for fault in faults} == {
+        "flood",
+        "crowded-discovery",
+        "workers",
+        "lost-messages",
+        "crowd",
+    }
+    assert all(fault.half_sent for fault in faults if fault.kind == "crowd")
 
 
 def test_failing_scenario_is_shrunk_to_the_faults_it_needs() -> None:
--- a/tests/standin/test_judge.py
+++ b/tests/standin/test_judge.py
@@ -9,9 +9,20 @@
 import pytest
 
 from beaconhinge.net.http1 import Message
-from beaconhinge.standin.rig.judge import _broken_by_sends, _notified_at, _own_stalls
+from beaconhinge.standin.rig.judge import (
+    _broken_by_sends,
+    _may_be_closed_by_crowd,
+    _notified_at,
+    _own_stalls,
+)
 from beaconhinge.standin.rig.record import RunRecord
-from beaconhinge.standin.rig.verdict import ClientAttempt, describe_missing, over_memory_limit, wrongly_failed
+from beaconhinge.standin.rig.verdict import (
+    TIME_OUT_PASSED,
+    ClientAttempt,
+    describe_missing,
+    over_memory_limit,
+    wrongly_failed,
+)
 from beaconhinge.standin.workers import FakeWorker, LostMessage
 
 
@@ -101,3 +112,15 @@
 
     asyncio.run(send_twice_withdraw_and_send_again())
     assert _broken_by_sends(run) == ["s-1 got a second attempt of r1 while it had the first"]
+
+
+def test_a_client_that_a_crowd_keeps_out_is_not_excused() -> None:
+    # Guards against a judge that excuses each missing answer during a crowd, also that of a client which was
+    # neither served nor closed until its time-out (review/7).
+    run = run_with(RunRecord(crowded_spans={0: [(100.0, 110.0)]}))
+    run.topology.has_reached_worker = lambda _request: False
+    excused = {}
+    for why in (TIME_OUT_PASSED, "Closed: "):
+        attempt = ClientAttempt("", "render", 0, 101.0, 105.0, "missing", missing_why=why)
+        excused[why] = _may_be_closed_by_crowd(run, attempt)
+    assert excused == {TIME_OUT_PASSED: False, "Closed: ": True}
