In an upgrade the newer process claims each id from the older one

Cause: each process asked its own table of requests alone.

Change: the older process decides on ids (net/request_ids.py): the newer one claims an id before it takes a request, and gives it back when it ends; the older one refuses with 409 what it has granted. The feature is named in the handed-over state, so that a process of the version before is sent no new frame; unknown frames are skipped. Frames have a module of their own (management/frames.py).

--- a/beaconhinge/dispatch/request.py
+++ b/beaconhinge/dispatch/request.py
@@ -69,6 +69,10 @@
     return False
 
 
+def _ignore_id(_request: str) -> None:
+    pass
+
+
 def _repeat_rule(request_class: interface.RequestClass) -> RepeatRule:
     """Return what the send monitor checks of repeats of this class."""
     if request_class.semantics == Semantics.UNSAFE:
@@ -88,6 +92,7 @@
         running_seconds: Returns how many of the seconds between two times this process was running.
         wait_before_admission: Awaited, for a bounded time, before a new job is passed to the policy.
         keys: Registry of idempotency keys; None if none is kept.
+        on_left: Called with the id of each request that has left the table.
     """
 
     def __init__(
@@ -112,6 +117,7 @@
         self.running_seconds: Callable[[float, float], float] = _elapsed_s
         self.wait_before_admission: Callable[[], Awaitable[None]] | None = None
         self.keys: IdempotencyKeys | None = None
+        self.on_left: Callable[[str], object] = _ignore_id
 
     @property
     def full(self) -> bool:
@@ -276,6 +282,7 @@
         # can be hundreds of requests later.
         self._attempts.clear()
         del self.table.requests[self.job.id]
+        self.table.on_left(self.job.id)
 
     async def _look_up_key(self) -> KeyStatus:
         """Wait for admission and return the status of the job's key, within half of the job's time at most.
--- a/beaconhinge/management/handover.py
+++ b/beaconhinge/management/handover.py
@@ -9,9 +9,8 @@
 
 import hashlib
 import json
-import struct
 from collections import Counter, deque
-from collections.abc import Iterator, Sequence
+from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import Any
 
@@ -22,27 +21,12 @@
 from ..policy.dispatcher import Dispatcher
 from ..policy.interface import RequestClass, Semantics, Settings
 from ..policy.workers import Worker
+from .frames import HandoverError
 
 VERSION = 1
 SEQUENCE_ALLOWANCE = 16  # sequence numbers that the old process may use after it exported its state
-MAX_FRAME_BYTES = 8 * 1024 * 1024
-_FRAME_HEADER = struct.Struct(">IB")  # length of the payload in bytes, kind
 _MAGIC = b"beaconhinge handover %d " % VERSION
 
-# Kinds of frames between the two processes; the numbers never change, since another version may read them.
-(
-    STATE,
-    SERVING,
-    ADDRESSES_RELEASED,
-    ALL_ANSWERED,
-    CALLBACK,
-    SLOTS_CHANGE,
-    DISABLE_WORKER,
-    ENABLE_WORKER,
-    DRAIN,
-    RESUME,
-) = range(1, 11)
-
 # The tables below map keys of the exported state to attribute names. Keys never change, since another version
 # may read them.
 # Of a worker: what was learned about it, and its ejection. Times are Unix time, which both processes share.
@@ -103,10 +87,6 @@
 }
 
 
-class HandoverError(Exception):
-    """A handed-over state or a frame is unusable; the text says why."""
-
-
 def seal(content: dict[str, Any]) -> bytes:
     """Return the bytes of a state, with version and checksum."""
     body = json.dumps(content, separators=(",", ":")).encode()
@@ -130,35 +110,6 @@
     return content
 
 
-def encode_frame(kind: int, payload: bytes = b"") -> bytes:
-    """Return the bytes of one frame between the two processes."""
-    return _FRAME_HEADER.pack(len(payload), kind) + payload
-
-
-class FrameReader:
-    """Decodes frames from a stream of bytes that arrives in pieces of any size."""
-
-    def __init__(self) -> None:
-        self._unread = bytearray()
-
-    def feed(self, data: bytes) -> Iterator[tuple[int, bytes]]:
-        """Append bytes, and yield the kind and payload of each complete frame.
-
-        Raises:
-            HandoverError: A frame is longer than MAX_FRAME_BYTES.
-        """
-        self._unread += data
-        while len(self._unread) >= _FRAME_HEADER.size:
-            length, kind = _FRAME_HEADER.unpack_from(self._unread)
-            if length > MAX_FRAME_BYTES:
-                raise HandoverError(f"a frame of {length} bytes is over the limit")
-            if len(self._unread) < _FRAME_HEADER.size + length:
-                return
-            payload = bytes(self._unread[_FRAME_HEADER.size : _FRAME_HEADER.size + length])
-            del self._unread[: _FRAME_HEADER.size + length]
-            yield kind, payload
-
-
 # The fingerprint of the settings is made from the `repr` that RequestClass and Tenant had in earlier
 # versions, since stored folders and processes of those versions have it; these tables keep the attribute
 # names of that time.
--- a/beaconhinge/net/job_parsing.py
+++ b/beaconhinge/net/job_parsing.py
@@ -103,6 +103,11 @@
         return work_s
 
 
+def id_in_use() -> BadMessage:
+    """Return the error for a request whose id another open request has."""
+    return BadMessage(409, "X-Request-ID: a request with this id is in work")
+
+
 def _request_id(text: str, open_request_ids: Container[str]) -> str:
     if not text:
         raise BadMessage(400, "X-Request-ID is missing")
@@ -112,7 +117,7 @@
             400, f"X-Request-ID: up to {MAX_REQUEST_ID_CHARS} letters, digits, - and _ are taken"
         )
     if text in open_request_ids:
-        raise BadMessage(409, "X-Request-ID: a request with this id is in work")
+        raise id_in_use()
     return text
 
 
--- a/beaconhinge/net/listener.py
+++ b/beaconhinge/net/listener.py
@@ -17,6 +17,7 @@
 from .client_table import REQUEST_IN_TRANSIT_S, Client, ClientTable
 from .http1 import Connection
 from .job_parsing import JobParser
+from .request_ids import RequestIds
 from .request_router import RequestRouter
 from .shutdown import ServingState, Shutdown
 from .sockets import DescriptorBudget, close, readable, steer_to_second, tcp_listener
@@ -37,6 +38,7 @@
     Attributes:
         ready: Returns whether there is a list of workers to serve from.
         clients: All accepted connections.
+        ids: The ids of open requests, of both processes in an upgrade.
         state: How far this process has got in draining, handing over or ending.
     """
 
@@ -59,10 +61,13 @@
         self.metrics = metrics
         self.state = ServingState()
         self.clients = ClientTable(timers, metrics)
+        self.ids = RequestIds(requests.requests, timers, metrics)
+        requests.on_left = self.ids.release
         parser = JobParser(config, timers.now, metrics)
         self.router = RequestRouter(
             requests,
             parser,
+            self.ids,
             on_callback,
             lambda: self.serving,
             lambda: self.max_jobs,
--- a/beaconhinge/net/request_router.py
+++ b/beaconhinge/net/request_router.py
@@ -9,10 +9,12 @@
 
 from ..dispatch.job import Answer, Job, RequestEnd
 from ..dispatch.request import Request, RequestTable
+from ..policy.interface import Semantics
 from ..runtime.metrics import Metrics
 from .client_table import Client
 from .http1 import BadMessage, Closed, Message, response
-from .job_parsing import JobParser
+from .job_parsing import JobParser, id_in_use
+from .request_ids import Claim, RequestIds
 from .shutdown import ServingState
 
 if TYPE_CHECKING:
@@ -50,6 +52,7 @@
         self,
         requests: RequestTable,
         parser: JobParser,
+        ids: RequestIds,
         on_callback: Callable[[bytes], None],
         is_serving: Callable[[], bool],
         max_jobs: Callable[[], int],
@@ -61,6 +64,7 @@
         Args:
             requests: Table that runs the jobs.
             parser: Parses messages into jobs.
+            ids: The ids of open requests.
             on_callback: Called with the body of each call-back.
             is_serving: Returns the result of the health check.
             max_jobs: Returns how many connections may wait for a job's answer at a time. Workers' call-backs
@@ -71,6 +75,7 @@
         """
         self.requests = requests
         self.parser = parser
+        self.ids = ids
         self.on_callback = on_callback
         self.is_serving = is_serving
         self.max_jobs = max_jobs
@@ -103,11 +108,11 @@
         if message.method != ("GET" if path == HEALTH_PATH else "POST"):
             return self._refuse_method(path, close)
         try:
-            job = self.parser.parse(path, message, self.requests.requests, self.state.answer_by)
+            job = self.parser.parse(path, message, self.ids, self.state.answer_by)
+            return await self._serve_job(client, message, job, close)
         except BadMessage as error:
             self.metrics.count_and_log("client_request_refused", status=error.status, why=error)
             return Reply(error_response(error.status, str(error), close), close)
-        return await self._serve_job(client, message, job, close)
 
     async def _attach(
         self, streams: Streams, client: Client, message: Message, path: str, close: bool
@@ -137,9 +142,18 @@
             return Reply(answer_bytes(self.requests.reject(job), True), True, frees_place=True)
         self.open_jobs += 1
         try:
+            claim = await self.ids.claim(job.id)
+            if claim is Claim.IN_USE:
+                raise id_in_use()
+            if claim is Claim.UNKNOWN and self._must_not_run_twice(job):
+                return Reply(answer_bytes(self.requests.reject(job), close), close)
             return await self._answer_job(client, message, job, close)
         finally:
             self.open_jobs -= 1
+            self.ids.release(job.id)
+
+    def _must_not_run_twice(self, job: Job) -> bool:
+        return self.requests.settings.classes[job.class_index].semantics == Semantics.UNSAFE
 
     async def _answer_job(self, client: Client, message: Message, job: Job, close: bool) -> Reply:
         """Run a job and return the reply; for a stream, its answer is already written to the connection."""
--- a/beaconhinge/net/upgrade.py
+++ b/beaconhinge/net/upgrade.py
@@ -25,7 +25,7 @@
 from ..dispatch.policy_runner import PolicyRunner
 from ..management import calls, handover
 from ..management.calls import OperatorCall
-from ..management.handover import HandoverError
+from ..management.frames import FrameKind, FrameReader, HandoverError, encode_frame
 from ..membership.inventory import WorkerListError
 from ..policy import interface
 from ..runtime.metrics import Metrics
@@ -34,14 +34,19 @@
 from .listener import Listener
 from .operator_calls import OperatorCalls
 from .peers import PeerSocket
+from .request_ids import Claim
 from .sockets import DescriptorBudget, connect
 from .worker_pool import WorkerPool
 
 ANSWER_TIMEOUT_S = 1.0  # seconds that the running process has for each of its two answers
 READY_WITHIN_S = 4.5  # seconds after its start by which a new process reports ready; it is allowed 6 s
 CHECK_INTERVAL_S = 0.05  # seconds between checks whether all requests are answered
+DECIDES_ON_IDS = "request_ids"  # feature of a process: it decides on the ids that its successor claims
 SLOTS_INTERVAL_S = 0.05  # seconds between reports of changes in used slots to the successor
 BUDGET_SHARE = 0.5  # share of sockets and of memory for bodies that each of the two processes has
+DECISIONS: dict[int, Claim] = {FrameKind.ID_GRANTED: Claim.GRANTED, FrameKind.ID_IN_USE: Claim.IN_USE}
+# Frames that either process may send, and that a third one has to receive as well.
+SHARED_KINDS = (FrameKind.DISABLE_WORKER, FrameKind.ENABLE_WORKER, FrameKind.DRAIN, FrameKind.RESUME)
 _SLOTS_CHANGE = struct.Struct(">Id")  # worker number, change in used slots
 
 
@@ -51,7 +56,7 @@
     def __init__(self, sock: socket.socket, metrics: Metrics) -> None:
         self.sock = sock
         self.metrics = metrics
-        self.frames = handover.FrameReader()
+        self.frames = FrameReader()
         self._received: list[tuple[int, bytes]] = []  # decoded frames that `next_frame` has not returned yet
         self._outgoing: asyncio.Queue[bytes] = asyncio.Queue()
 
@@ -77,7 +82,7 @@
 
     def send(self, kind: int, payload: bytes = b"") -> None:
         """Queue a frame for sending; it is lost if the connection ends first."""
-        self._outgoing.put_nowait(handover.encode_frame(kind, payload))
+        self._outgoing.put_nowait(encode_frame(kind, payload))
 
     async def _read(self) -> None:
         try:
@@ -188,7 +193,7 @@
                 link = ProcessLink(sock, self.metrics)
                 await asyncio.get_running_loop().sock_sendall(sock, f"{calls.TAKE_OVER} {token}\n".encode())
                 kind, sealed = await link.next_frame()
-            if kind != handover.STATE:
+            if kind != FrameKind.STATE:
                 raise HandoverError(f"expected the state, received a frame of kind {kind}")
             content = handover.unseal(sealed)
         except (OSError, HandoverError, ValueError, RecursionError) as error:
@@ -198,6 +203,8 @@
             self.metrics.count_and_log("handover_unusable", why=f"{type(error).__name__}: {error}")
             return None
         self.predecessor = link
+        if DECIDES_ON_IDS in content.get("features", ()):
+            self.listener.ids.ask_older_process(link.send)
         return content
 
     def restore(self, content: dict[str, Any]) -> None:
@@ -232,27 +239,30 @@
         """
         if self.predecessor is not None:
             self.predecessor.start(self._receive_from_predecessor, self._predecessor_ended)
-            self.predecessor.send(handover.SERVING)
+            self.predecessor.send(FrameKind.SERVING)
             with contextlib.suppress(TimeoutError):
                 async with self.timers.timeout(ANSWER_TIMEOUT_S):
                     await self._addresses_released.wait()
         self._write_rendezvous()
 
     def _receive_from_predecessor(self, kind: int, payload: bytes) -> None:
-        if kind == handover.ADDRESSES_RELEASED:
+        if kind == FrameKind.ADDRESSES_RELEASED:
             self._addresses_released.set()
-        elif kind == handover.ALL_ANSWERED:
+        elif kind == FrameKind.ALL_ANSWERED:
             self._predecessor_done = True
-        elif kind == handover.SLOTS_CHANGE:
+        elif kind == FrameKind.SLOTS_CHANGE:
             number, slots = _SLOTS_CHANGE.unpack(payload)
             self._predecessor_slots[number] += slots
             self.policy_runner.feed(interface.SiblingLoad(number, slots))
+        elif kind in DECISIONS:
+            self.listener.ids.decided(payload.decode("ascii", "replace"), DECISIONS[kind])
         else:
             self._receive_shared(kind, payload, self.predecessor)
 
     def _predecessor_ended(self) -> None:
         self._addresses_released.set()
         self.predecessor = None
+        self.listener.ids.older_process_ended()
         for number, slots in self._predecessor_slots.items():
             if slots > 0:
                 self.policy_runner.feed(interface.SiblingLoad(number, -slots))
@@ -280,19 +290,25 @@
                     self.discovery.version or 0, self.workers.endpoints()
                 ),
                 "discovery": self.discovery.address,
+                "features": [DECIDES_ON_IDS],
                 **{name: export() for name, (export, _) in self.parts.items()},
             }
         )
         link = self.successor = ProcessLink(sock, self.metrics)
         link.start(self._receive_from_successor, self._successor_ended)
         self._reported_slots = self._slots_in_flight()
-        link.send(handover.STATE, sealed)
+        link.send(FrameKind.STATE, sealed)
         self.timers.after(SLOTS_INTERVAL_S, self._report_slots)
         return ""
 
     def _receive_from_successor(self, kind: int, payload: bytes) -> None:
-        if kind == handover.SERVING and self.successor is not None:
+        if kind == FrameKind.SERVING and self.successor is not None:
             self.metrics.spawn(self._release_addresses(self.successor), "release addresses")
+        elif kind == FrameKind.CLAIM_ID and self.successor is not None:
+            request = payload.decode("ascii", "replace")
+            self.metrics.spawn(self.listener.ids.grant(request, self.successor.send), "grant id")
+        elif kind == FrameKind.RELEASE_ID:
+            self.listener.ids.released(payload.decode("ascii", "replace"))
         else:
             self._receive_shared(kind, payload, self.successor)
 
@@ -309,14 +325,15 @@
         await self.listener.hand_over()
         if self.successor is link:
             self.metrics.log("handed_over", owed=self.listener.unanswered)
-            link.send(handover.ADDRESSES_RELEASED)
+            link.send(FrameKind.ADDRESSES_RELEASED)
         while self.successor is link and self.listener.unanswered:
             await asyncio.sleep(CHECK_INTERVAL_S)
         if self.successor is link:
-            link.send(handover.ALL_ANSWERED)
+            link.send(FrameKind.ALL_ANSWERED)
 
     def _successor_ended(self) -> None:
         self.successor = None
+        self.listener.ids.newer_process_ended()
         if self.listener.handed and not self.listener.ending:
             self.metrics.count_and_log("taken_back")  # the successor died, so this process continues to serve
             self.policy_runner.dispatcher.gossip.incarnation = (
@@ -337,7 +354,7 @@
         for number in {*in_flight, *self._reported_slots}:
             if in_flight[number] != self._reported_slots[number]:
                 self.successor.send(
-                    handover.SLOTS_CHANGE,
+                    FrameKind.SLOTS_CHANGE,
                     _SLOTS_CHANGE.pack(number, in_flight[number] - self._reported_slots[number]),
                 )
         self._reported_slots = in_flight
@@ -368,7 +385,7 @@
     def _forward_callback(self, body: bytes, worker: int, excluded: ProcessLink | None = None) -> None:
         """Forward a call-back that matches no job of this process; it may belong to the other process."""
         for link in self._links(excluded):
-            link.send(handover.CALLBACK, body)
+            link.send(FrameKind.CALLBACK, body)
             self.metrics.count("callbacks_passed_on")
             if link is self.predecessor:  # a sign of life from the worker, which this process would not see
                 self.policy_runner.feed(interface.SiblingLoad(worker, 0.0))
@@ -378,22 +395,25 @@
 
         The successor is the process that accepts clients.
         """
-        kinds = {calls.DISABLE: handover.DISABLE_WORKER, calls.ENABLE: handover.ENABLE_WORKER}
+        kinds = {calls.DISABLE: FrameKind.DISABLE_WORKER, calls.ENABLE: FrameKind.ENABLE_WORKER}
         for link in self._links(None):
             if call.name in kinds:
                 link.send(kinds[call.name], call.argument.encode())
             elif link is self.successor:
-                link.send(handover.DRAIN if call.name == calls.DRAIN else handover.RESUME)
+                link.send(FrameKind.DRAIN if call.name == calls.DRAIN else FrameKind.RESUME)
 
     def _receive_shared(self, kind: int, payload: bytes, link: ProcessLink | None) -> None:
-        if kind == handover.CALLBACK:
+        if kind == FrameKind.CALLBACK:
             self.workers.receive_callback(
                 payload, lambda body, worker: self._forward_callback(body, worker, link)
             )
             return
+        if kind not in SHARED_KINDS:
+            self.metrics.count_and_log("frames_unknown", kind=kind)
+            return
         for other in self._links(link):  # a third process, if a second upgrade begins before the first ends
             other.send(kind, payload)
-        if kind in (handover.DISABLE_WORKER, handover.ENABLE_WORKER):
-            self.operators.set_maintenance(payload.decode("ascii"), kind == handover.DISABLE_WORKER)
+        if kind in (FrameKind.DISABLE_WORKER, FrameKind.ENABLE_WORKER):
+            self.operators.set_maintenance(payload.decode("ascii"), kind == FrameKind.DISABLE_WORKER)
         else:
-            self.operators.set_drained(kind == handover.DRAIN)
+            self.operators.set_drained(kind == FrameKind.DRAIN)
