--- a/beaconhinge/application.py
+++ b/beaconhinge/application.py
@@ -12,7 +12,7 @@
 
 from .config import Config, ConfigError
 from .dispatch.policy_runner import PolicyRunner
-from .dispatch.request import RequestTable
+from .dispatch.request_table import RequestTable
 from .net.discovery import Discovery
 from .net.listener import Listener
 from .net.management import MAX_CALLERS, Management
--- a/beaconhinge/net/listener.py
+++ b/beaconhinge/net/listener.py
@@ -10,7 +10,7 @@
 from typing import TYPE_CHECKING
 
 from ..config import Config
-from ..dispatch.request import RequestTable
+from ..dispatch.request_table import RequestTable
 from ..runtime.metrics import Metrics
 from ..runtime.timer_wheel import TimerWheel
 from .client_connection import ClientServer
--- a/beaconhinge/net/operator_calls.py
+++ b/beaconhinge/net/operator_calls.py
@@ -6,7 +6,7 @@
 
 from ..config import Config
 from ..dispatch.policy_runner import PolicyRunner
-from ..dispatch.request import RequestTable
+from ..dispatch.request_table import RequestTable
 from ..management import calls, figures
 from ..management.calls import OperatorCall
 from ..membership.inventory import worker_number
--- a/beaconhinge/net/recovery.py
+++ b/beaconhinge/net/recovery.py
@@ -10,7 +10,7 @@
 from ..config.local import RecoveryOptions
 from ..dispatch.attempt import Attempt
 from ..dispatch.policy_runner import PolicyRunner
-from ..dispatch.request import RequestTable
+from ..dispatch.request_table import RequestTable
 from ..policy import interface
 from ..policy.interface import AttemptOutcome
 from ..recovery.stall import Stall, StallDetector
--- a/beaconhinge/net/request_router.py
+++ b/beaconhinge/net/request_router.py
@@ -8,7 +8,8 @@
 from typing import TYPE_CHECKING
 
 from ..dispatch.job import Answer, Job, RequestEnd
-from ..dispatch.request import Request, RequestTable
+from ..dispatch.request import Request
+from ..dispatch.request_table import RequestTable
 from ..policy.interface import Semantics
 from ..runtime.metrics import Metrics
 from .client_table import Client
--- a/beaconhinge/net/streams.py
+++ b/beaconhinge/net/streams.py
@@ -16,7 +16,8 @@
 from ..config import Config
 from ..config.local import ProgressOptions
 from ..dispatch.job import Answer, Job, RequestEnd
-from ..dispatch.request import Request, RequestTable
+from ..dispatch.request import Request
+from ..dispatch.request_table import RequestTable
 from ..progress import codec
 from ..progress.feed import ACCEPTED, FeedReader, ProgressFeed
 from ..progress.registry import StreamEntry, StreamRegistry
--- a/tests/attempt_scenario.py
+++ b/tests/attempt_scenario.py
@@ -19,7 +19,8 @@
 
 from beaconhinge.dispatch.job import Job
 from beaconhinge.dispatch.policy_runner import PolicyRunner
-from beaconhinge.dispatch.request import Request, RequestTable
+from beaconhinge.dispatch.request import Request
+from beaconhinge.dispatch.request_table import RequestTable
 from beaconhinge.membership.inventory import WorkerEndpoint
 from beaconhinge.net.attempts import AttemptSender
 from beaconhinge.net.callbacks import CallbackReceiver
--- a/tests/dispatch/test_deadline_pauses.py
+++ b/tests/dispatch/test_deadline_pauses.py
@@ -14,7 +14,7 @@
 from beaconhinge.dispatch.attempt import Attempt
 from beaconhinge.dispatch.job import Job, KeyStatus, RequestEnd
 from beaconhinge.dispatch.policy_runner import PolicyRunner
-from beaconhinge.dispatch.request import RequestTable
+from beaconhinge.dispatch.request_table import RequestTable
 from beaconhinge.policy import interface
 from beaconhinge.policy.dispatcher import Dispatcher
 from beaconhinge.policy.interface import AttemptOutcome, UpdateKind
--- a/tests/net/test_repeat_windows.py
+++ b/tests/net/test_repeat_windows.py
@@ -19,7 +19,7 @@
 
 from beaconhinge.dispatch.job import Job, RequestEnd
 from beaconhinge.dispatch.policy_runner import PolicyRunner
-from beaconhinge.dispatch.request import RequestTable
+from beaconhinge.dispatch.request_table import RequestTable
 from beaconhinge.net.attempts import AttemptSender
 from beaconhinge.policy import interface
 from beaconhinge.policy.dispatcher import Dispatcher
--- a/tests/recovery/test_requests.py
+++ b/tests/recovery/test_requests.py
@@ -9,7 +9,7 @@
 
 from beaconhinge.dispatch.job import Job, KeyStatus
 from beaconhinge.dispatch.policy_runner import PolicyRunner
-from beaconhinge.dispatch.request import RequestTable
+from beaconhinge.dispatch.request_table import RequestTable
 from beaconhinge.policy import Settings, interface
 from beaconhinge.runtime.metrics import Metrics
 from beaconhinge.runtime.timer_wheel import TimerWheel
