Reading from a connection that was closed for room ends it

Change: a read from a closed connection reports its end. The new test failed with that error before.

--- a/beaconhinge/net/http1.py
+++ b/beaconhinge/net/http1.py
@@ -138,6 +138,8 @@
 
     async def _fill(self) -> bool:
         """Read and parse once; returns False if the peer has closed the connection or it has failed."""
+        if not self._open:  # it was closed for room after the last read, before its owner ran again
+            return False
         try:
             if self._parser.dropping:
                 return await self._drop_arriving()
--- a/tests/net/test_stalled_clients.py
+++ b/tests/net/test_stalled_clients.py
@@ -5,10 +5,14 @@
 import asyncio
 import contextlib
 import json
+import socket
 
 import pytest
+import uvloop
 from harness import Harness, job_bytes, read_message, run_scenario
 
+from beaconhinge.net.http1 import Closed, Connection
+
 SOCKETS = 64  # leave 30 to clients
 CROWD = 40
 WHOLE = b"GET /up HTTP/1.1\r\n\r\n"
@@ -137,3 +141,20 @@
         assert (await read_message(reader)).body == b"served"
 
     run_scenario(scenario)
+
+
+def test_reading_from_a_connection_that_was_closed_for_room_ends_it() -> None:
+    """Guards against a failed task: closed between a read and the next, it was read as one to be dropped."""
+
+    async def scenario() -> None:
+        near, far = socket.socketpair()
+        near.setblocking(False)
+        connection = Connection(near, True, lambda: None)
+        far.sendall(HALVES["half a head"])
+        await connection.begun()
+        connection.close()
+        with pytest.raises(Closed):
+            await connection.next()
+        far.close()
+
+    uvloop.run(scenario())
